--- /dev/null
+++ b/entry/adminrpc/adminrpc.go
@@ -0,0 +1,225 @@
+package adminrpc
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"connectrpc.com/connect"
+	"github.com/hashicorp/go-hclog"
+
+	"foxtailbridge/entry/config"
+	"foxtailbridge/entry/learning"
+	"foxtailbridge/entry/ledger"
+	"foxtailbridge/entry/members"
+	"foxtailbridge/entry/pool"
+	"foxtailbridge/entry/router"
+	"foxtailbridge/link/admin/adminv1"
+	"foxtailbridge/link/admin/adminv1/adminv1connect"
+	"foxtailbridge/link/caller"
+	"foxtailbridge/link/platform"
+	"foxtailbridge/policy/billing"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/ticket"
+)
+
+// OperatorName names an operator in logs.
+type OperatorName string
+
+// Parts are the parts of an instance that operators can look into.
+type Parts struct {
+	Config  *config.Store
+	Members *members.Members
+	Pool    *pool.Pool
+	Ledger  *ledger.Ledger
+	Learner *learning.Learner
+	Router  *router.Router
+	Log     *platform.Log
+	Ready   func() bool
+}
+
+// Server serves the administration API of one instance.
+type Server struct {
+	instance string
+	zone     ticket.ZoneName
+	parts    Parts
+	keys     *caller.Keyring[OperatorName]
+	logger   hclog.Logger
+}
+
+// New returns a Server.
+func New(instance string, zone ticket.ZoneName, parts Parts, keys *caller.Keyring[OperatorName], logger hclog.Logger) *Server {
+	return &Server{instance: instance, zone: zone, parts: parts, keys: keys, logger: logger.Named("admin")}
+}
+
+// Handler serves the API to operators with a key.
+func (s *Server) Handler() http.Handler {
+	_, handler := adminv1connect.NewAdminServiceHandler(s, connect.WithInterceptors(s.authenticate()))
+	return handler
+}
+
+var errKey = errors.New("the operator key is missing or not known")
+
+func (s *Server) authenticate() connect.Interceptor {
+	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+			operator, ok := s.keys.Name(request.Header().Get("Authorization"))
+			if !ok {
+				return nil, connect.NewError(connect.CodeUnauthenticated, errKey)
+			}
+			s.logger.Info("operator-call", "operator", operator, "procedure", request.Spec().Procedure)
+			return next(ctx, request)
+		}
+	})
+}
+
+// Publish appends a ticket to the log and reports what it set.
+func (s *Server) Publish(ctx context.Context, r *connect.Request[adminv1.PublishRequest]) (*connect.Response[adminv1.PublishResponse], error) {
+	t, err := ticket.Parse(r.Msg.Ticket)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	offset, err := s.parts.Config.Publish(ctx, t)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	response := &adminv1.PublishResponse{Number: int64(t.Number), Offset: int64(offset)}
+	inForce := map[string]ticket.Entry{}
+	for _, e := range s.parts.Config.Entries() {
+		inForce[string(e.Kind)+"/"+e.Name] = e
+	}
+	for _, e := range t.Entries(offset) {
+		now := inForce[string(e.Kind)+"/"+e.Name]
+		response.Objects = append(response.Objects, &adminv1.ObjectResult{
+			Kind:          string(e.Kind),
+			Name:          e.Name,
+			NumberInForce: int64(now.Number),
+			InForce:       now.Number == e.Number && string(now.Body) == string(e.Body),
+		})
+	}
+	return connect.NewResponse(response), nil
+}
+
+// Config returns the configuration in force.
+func (s *Server) Config(context.Context, *connect.Request[adminv1.ConfigRequest]) (*connect.Response[adminv1.ConfigResponse], error) {
+	response := &adminv1.ConfigResponse{Digest: formatDigest(s.parts.Config.View().Digest)}
+	for _, e := range s.parts.Config.Entries() {
+		response.Objects = append(response.Objects, &adminv1.ConfigObject{
+			Kind: string(e.Kind), Name: e.Name, Number: int64(e.Number), Offset: int64(e.Offset), Body: string(e.Body),
+		})
+	}
+	return connect.NewResponse(response), nil
+}
+
+func formatDigest(d ticket.Digest) string {
+	return fmt.Sprintf("%016x", uint64(d))
+}
+
+// Status describes the instance and what it sees.
+func (s *Server) Status(context.Context, *connect.Request[adminv1.StatusRequest]) (*connect.Response[adminv1.StatusResponse], error) {
+	parts := &s.parts
+	response := &adminv1.StatusResponse{
+		Instance:       s.instance,
+		Zone:           string(s.zone),
+		Ready:          parts.Ready(),
+		Draining:       parts.Router.Draining(),
+		ConfigDigest:   formatDigest(parts.Config.View().Digest),
+		LogAgeMs:       int64(parts.Config.LogAge()),
+		UnsettledBills: int64(parts.Ledger.Unsettled()),
+		HeldBills:      int64(parts.Ledger.Held()),
+	}
+	for _, other := range parts.Members.Others() {
+		response.Peers = append(response.Peers, string(other.ID))
+	}
+	for _, e := range parts.Pool.Statuses() {
+		response.Endpoints = append(response.Endpoints, endpointStatus(&e))
+	}
+	slices.SortFunc(response.Endpoints, func(a, b *adminv1.EndpointStatus) int { return cmp.Compare(a.Id, b.Id) })
+	for _, digest := range parts.Learner.Quarantined() {
+		response.Quarantined = append(response.Quarantined, string(digest))
+	}
+	for _, stop := range parts.Learner.Stops() {
+		response.StoppedRollouts = append(response.StoppedRollouts, fmt.Sprintf("%s (ticket %d)", stop.Rollout, stop.Number))
+	}
+	return connect.NewResponse(response), nil
+}
+
+func endpointStatus(e *pool.Status) *adminv1.EndpointStatus {
+	state := string(e.Phase)
+	switch {
+	case e.Down:
+		state = "down"
+	case e.Listing.Presence == platform.PresenceLeaving:
+		state = "leaving"
+	case e.Ejected:
+		state = "ejected"
+	}
+	serves := string(e.Listing.Version)
+	if e.Listing.Service != "" {
+		serves = string(e.Listing.Service)
+	}
+	return &adminv1.EndpointStatus{
+		Id: string(e.Listing.ID), Zone: string(e.Listing.Zone), Serves: serves,
+		State: state, InFlight: int64(e.InFlight), ReportAgeMs: int64(e.ReportAge),
+	}
+}
+
+// Bills reads the bill stream and counts each request once.
+func (s *Server) Bills(ctx context.Context, r *connect.Request[adminv1.BillsRequest]) (*connect.Response[adminv1.BillsResponse], error) {
+	fold, err := readBills(ctx, s.parts.Log)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	workspace := ticket.WorkspaceName(r.Msg.Workspace)
+	response := &adminv1.BillsResponse{
+		TotalMicros:       int64(fold.Total(workspace)),
+		DuplicatesIgnored: int64(fold.Duplicates()),
+	}
+	for _, bill := range fold.Bills() {
+		if workspace == "" || bill.Workspace == workspace {
+			response.Bills = append(response.Bills, billLine(&bill))
+		}
+	}
+	if limit := int(r.Msg.Limit); limit > 0 && len(response.Bills) > limit {
+		response.Bills = response.Bills[len(response.Bills)-limit:]
+	}
+	return connect.NewResponse(response), nil
+}
+
+func billLine(bill *billing.Bill) *adminv1.BillLine {
+	return &adminv1.BillLine{
+		RequestId: string(bill.ID), Workspace: string(bill.Workspace), Serves: bill.Serves,
+		CostMicros: int64(bill.Cost), Tokens: int64(bill.Tokens), Attempts: int64(bill.Attempts), BilledAtMs: int64(bill.At),
+	}
+}
+
+func readBills(ctx context.Context, log *platform.Log) (*billing.Fold, error) {
+	fold := billing.NewFold()
+	tail := &platform.Tail{Log: log, Stream: platform.StreamBills, Clock: clock.New(), Apply: func(record platform.Record) {
+		var bills []billing.Bill
+		if json.Unmarshal(record.Data, &bills) != nil {
+			return
+		}
+		for _, bill := range bills {
+			fold.Add(bill)
+		}
+	}}
+	for {
+		if err := tail.Poll(ctx, 0); err != nil {
+			return nil, err
+		}
+		if _, atEnd := tail.Age(); atEnd {
+			return fold, nil
+		}
+	}
+}
+
+// Decisions returns the latest decision lines.
+func (s *Server) Decisions(_ context.Context, r *connect.Request[adminv1.DecisionsRequest]) (*connect.Response[adminv1.DecisionsResponse], error) {
+	lines := s.parts.Router.Journal().Latest(int(r.Msg.Limit))
+	return connect.NewResponse(&adminv1.DecisionsResponse{Lines: lines}), nil
+}
--- /dev/null
+++ b/entry/adminrpc/doc.go
@@ -0,0 +1,2 @@
+// Package adminrpc serves operators: tickets, configuration, status, bills and decisions.
+package adminrpc
--- /dev/null
+++ b/entry/instance/doc.go
@@ -0,0 +1,2 @@
+// Package instance wires the parts of one entry instance together.
+package instance
--- /dev/null
+++ b/entry/learning/learning.go
@@ -0,0 +1,364 @@
+package learning
+
+import (
+	"context"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+
+	"foxtailbridge/entry/fleet"
+	"foxtailbridge/link/platform"
+	"foxtailbridge/policy/cascade"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/evidence"
+	"foxtailbridge/policy/quarantine"
+	"foxtailbridge/policy/rollout"
+	"foxtailbridge/policy/ticket"
+)
+
+// Defaults of a Learner.
+const (
+	// DefaultPeriod is how often ratings are fetched and roll-outs judged.
+	DefaultPeriod = 500 * clock.Millis(1)
+	// epochs is how many hours of ratings count, each older one at epochWeight of the next.
+	epochs      = 6
+	epochWeight = 0.7
+	// submitBatch bounds the answers handed in at once, maxPending those that wait.
+	submitBatch = 256
+	maxPending  = 4096
+)
+
+// Learner learns for one instance.
+type Learner struct {
+	// View returns the configuration in force.
+	View func() *ticket.View
+	// Position returns the instance's place among the live ones.
+	Position func() rollout.Position
+	// Publish appends an item to the fleet stream.
+	Publish func(fleet.Item) <-chan error
+	// Urgent is called when others should hear at once.
+	Urgent func()
+	// Rated is called with each rating.
+	Rated func(platform.Rating)
+
+	clock   *clock.Clock
+	logger  hclog.Logger
+	ratings *platform.Ratings
+
+	mu       sync.Mutex
+	counters *evidence.Counters
+	stops    map[fleet.Stop]bool
+	crashes  *quarantine.Ledger
+	pending  []platform.Answer
+	sequence int64
+}
+
+// New returns a Learner; self includes the run of the process.
+func New(self string, ratings *platform.Ratings, c *clock.Clock, logger hclog.Logger) *Learner {
+	return &Learner{
+		Position: func() rollout.Position { return rollout.Position{Instances: 1} },
+		Urgent:   func() {},
+		Rated:    func(platform.Rating) {},
+		clock:    c,
+		logger:   logger.Named("learning"),
+		ratings:  ratings,
+		counters: evidence.NewCounters(self),
+		stops:    map[fleet.Stop]bool{},
+		crashes:  quarantine.NewLedger(),
+	}
+}
+
+// Run hands in answers, fetches ratings and judges until ctx ends.
+func (l *Learner) Run(ctx context.Context) {
+	for l.clock.Sleep(ctx, DefaultPeriod) == nil {
+		l.Tick(ctx)
+	}
+}
+
+// Tick does one round of Run.
+func (l *Learner) Tick(ctx context.Context) {
+	l.submit(ctx)
+	l.fetch(ctx)
+	l.Judge()
+	l.forget()
+}
+
+// Submit queues an answer to be rated; under pressure the newest are not rated.
+func (l *Learner) Submit(answer platform.Answer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.pending) < maxPending {
+		l.pending = append(l.pending, answer)
+	}
+}
+
+func (l *Learner) submit(ctx context.Context) {
+	l.mu.Lock()
+	batch := l.pending[:min(len(l.pending), submitBatch)]
+	l.mu.Unlock()
+	if len(batch) == 0 || l.ratings.Submit(ctx, batch) != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending = append([]platform.Answer(nil), l.pending[len(batch):]...)
+}
+
+func (l *Learner) fetch(ctx context.Context) {
+	l.mu.Lock()
+	after := l.sequence
+	l.mu.Unlock()
+	ratings, err := l.ratings.After(ctx, after)
+	if err != nil {
+		return
+	}
+	for _, rating := range ratings {
+		l.Rate(rating)
+	}
+}
+
+// Rate counts one rating.
+func (l *Learner) Rate(rating platform.Rating) {
+	l.mu.Lock()
+	l.sequence = max(l.sequence, rating.Sequence)
+	epoch := evidence.EpochOf(l.clock.Wall())
+	l.counters.Rate(evidence.RateSeries(rating.Workspace, rating.Class, rating.Version, epoch), rating.Good)
+	for _, series := range l.series(rating.Version) {
+		l.counters.Rate(series, rating.Good)
+	}
+	l.mu.Unlock()
+	l.Rated(rating)
+}
+
+// Fail counts an answer that a version did not bring to its end.
+func (l *Learner) Fail(version ticket.VersionRef) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, series := range l.series(version) {
+		l.counters.Rate(series, false)
+	}
+}
+
+// Expose counts an answer of a version that a caller gets.
+func (l *Learner) Expose(version ticket.VersionRef) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, series := range l.series(version) {
+		l.counters.Expose(series)
+	}
+}
+
+// series lists the roll-outs in which a version takes part.
+func (l *Learner) series(version ticket.VersionRef) []evidence.Series {
+	view := l.View()
+	var list []evidence.Series
+	for name, r := range view.Rollouts {
+		number := view.Number(ticket.ObjectRollout, string(name))
+		switch {
+		case r.State != ticket.RolloutRunning:
+		case r.To == version:
+			list = append(list, evidence.RolloutSeries(name, number, evidence.ArmTo))
+		case r.From == version:
+			list = append(list, evidence.RolloutSeries(name, number, evidence.ArmFrom))
+		}
+	}
+	return list
+}
+
+// Count returns the ratings of a version, older hours at less weight.
+func (l *Learner) Count(key cascade.Key) cascade.Count {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := evidence.EpochOf(l.clock.Wall())
+	var count cascade.Count
+	weight := 1.0
+	for age := range evidence.Epoch(epochs) {
+		sum := l.counters.Sum(evidence.RateSeries(key.Workspace, key.Class, key.Version, now-age))
+		count.Good += weight * float64(sum.Good)
+		count.Bad += weight * float64(sum.Bad)
+		weight *= epochWeight
+	}
+	return count
+}
+
+// Judge stops every running roll-out whose new version turns out worse.
+func (l *Learner) Judge() {
+	view := l.View()
+	for name, r := range view.Rollouts {
+		stop := fleet.Stop{Rollout: name, Number: view.Number(ticket.ObjectRollout, string(name))}
+		if r.State != ticket.RolloutRunning || l.stopped(stop) {
+			continue
+		}
+		from, to := l.arms(stop)
+		if rollout.Judge(from, to, prior(view, r.From)) == rollout.VerdictStop {
+			l.logger.Warn("roll-out-stopped", "roll-out", name, "ticket", stop.Number, "version", r.To,
+				"good", to.Good, "bad", to.Bad, "exposed", to.Exposed, "old-good", from.Good, "old-bad", from.Bad)
+			l.AddStop(stop)
+			l.Publish(fleet.Item{Stop: &stop})
+			l.Urgent()
+		}
+	}
+}
+
+func prior(view *ticket.View, ref ticket.VersionRef) float64 {
+	if version := view.Versions[ref]; version != nil {
+		return version.Quality
+	}
+	return 1
+}
+
+func (l *Learner) arms(stop fleet.Stop) (from, to evidence.Tally) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	from = l.counters.Sum(evidence.RolloutSeries(stop.Rollout, stop.Number, evidence.ArmFrom))
+	to = l.counters.Sum(evidence.RolloutSeries(stop.Rollout, stop.Number, evidence.ArmTo))
+	return from, to
+}
+
+// AddStop takes a stop from the log or from another instance.
+func (l *Learner) AddStop(stop fleet.Stop) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stops[stop] = true
+}
+
+func (l *Learner) stopped(stop fleet.Stop) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stops[stop]
+}
+
+// Stops returns all stops known.
+func (l *Learner) Stops() []fleet.Stop {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]fleet.Stop, 0, len(l.stops))
+	for stop := range l.stops {
+		list = append(list, stop)
+	}
+	return list
+}
+
+// Stopped reports whether a version may get no new work because its roll-out was stopped.
+func (l *Learner) Stopped(version ticket.VersionRef) bool {
+	view := l.View()
+	for name, r := range view.Rollouts {
+		if r.To != version || r.State == ticket.RolloutDone {
+			continue
+		}
+		stop := fleet.Stop{Rollout: name, Number: view.Number(ticket.ObjectRollout, string(name))}
+		if r.State == ticket.RolloutStopped || l.stopped(stop) {
+			return true
+		}
+	}
+	return false
+}
+
+// Assign applies the roll-outs of a chosen version for a session or request key.
+func (l *Learner) Assign(version ticket.VersionRef, key string, allowed func(ticket.VersionRef) bool) (ticket.VersionRef, rollout.Assignment) {
+	view := l.View()
+	for name, r := range view.Rollouts {
+		if r.From != version || !allowed(r.To) || !view.VersionActive(r.To) || l.Stopped(r.To) {
+			continue
+		}
+		series := evidence.RolloutSeries(name, view.Number(ticket.ObjectRollout, string(name)), evidence.ArmTo)
+		l.mu.Lock()
+		own, sum := l.counters.Own(series), l.counters.Sum(series)
+		l.mu.Unlock()
+		assignment := rollout.Assign(r, key, own, sum, l.Position())
+		if assignment == rollout.AssignTo {
+			return r.To, assignment
+		}
+		return version, assignment
+	}
+	return version, rollout.AssignFrom
+}
+
+// RolledOut reports whether a version is reached through a roll-out only, and
+// so is no choice of its own.
+func (l *Learner) RolledOut(version ticket.VersionRef) bool {
+	for _, r := range l.View().Rollouts {
+		if r.To == version && r.State != ticket.RolloutDone {
+			return true
+		}
+	}
+	return false
+}
+
+// Suspect takes a suspicion, from this instance or another, and reports whether it was new.
+func (l *Learner) Suspect(s quarantine.Suspicion) bool {
+	l.mu.Lock()
+	before := l.crashes.Judge(s.Digest)
+	added := l.crashes.Add(s)
+	after := l.crashes.Judge(s.Digest)
+	l.mu.Unlock()
+	if added {
+		l.logger.Warn("request-suspected", "digest", s.Digest, "crash", s.Crash, "alone", s.Alone, "verdict", after)
+	}
+	if after == quarantine.VerdictQuarantined && before != after {
+		l.logger.Error("request-quarantined", "digest", s.Digest)
+	}
+	return added
+}
+
+// Clear notes that a suspect ran alone to its end.
+func (l *Learner) Clear(digest quarantine.Digest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes.Clear(digest)
+}
+
+// Verdict returns how to treat a request.
+func (l *Learner) Verdict(digest quarantine.Digest) quarantine.Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.crashes.Judge(digest)
+}
+
+// Suspicions returns all suspicions known.
+func (l *Learner) Suspicions() []quarantine.Suspicion {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.crashes.Suspicions()
+}
+
+// Quarantined returns the digests of the quarantined requests.
+func (l *Learner) Quarantined() []quarantine.Digest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.crashes.Quarantined()
+}
+
+// CountersSince returns the rows that changed after the stamp.
+func (l *Learner) CountersSince(stamp evidence.Stamp) ([]evidence.Row, evidence.Stamp) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counters.Since(stamp)
+}
+
+// MergeCounters takes rows of other instances.
+func (l *Learner) MergeCounters(rows []evidence.Row) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counters.Merge(rows)
+}
+
+// forget drops the ratings of old hours and the evidence of ended roll-outs.
+func (l *Learner) forget() {
+	view := l.View()
+	current := map[evidence.Series]bool{}
+	for name := range view.Rollouts {
+		number := view.Number(ticket.ObjectRollout, string(name))
+		current[evidence.RolloutSeries(name, number, evidence.ArmFrom)] = true
+		current[evidence.RolloutSeries(name, number, evidence.ArmTo)] = true
+	}
+	oldest := evidence.EpochOf(l.clock.Wall()) - epochs
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counters.Retain(func(series evidence.Series) bool {
+		if epoch, ok := series.Epoch(); ok {
+			return epoch > oldest
+		}
+		return current[series]
+	})
+}
--- /dev/null
+++ b/entry/ledger/ledger.go
@@ -0,0 +1,304 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+
+	"foxtailbridge/link/platform"
+	"foxtailbridge/policy/billing"
+	"foxtailbridge/policy/claim"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/fault"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindFull means that too many bills wait for the log.
+	KindFull Kind = "full"
+	// KindUnsafe means that neither the log nor another instance has the bill yet.
+	KindUnsafe Kind = "unsafe"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Defaults of a Ledger.
+const (
+	// DefaultMaxUnsettled bounds the bills that wait for the log.
+	DefaultMaxUnsettled = 10_000
+	// DefaultMaxHeld bounds the bills kept for other instances.
+	DefaultMaxHeld = 20_000
+	// holdAfter is how long an append may take before another instance is asked to hold the bill.
+	holdAfter = 300 * clock.Millis(1)
+	// settleWait bounds the time until a bill is safe.
+	settleWait = 10 * clock.Second
+	// heldGrace is how long the owner of a held bill has to settle it itself.
+	heldGrace   = 15 * clock.Second
+	retryPeriod = 500 * clock.Millis(1)
+	// healthyFor is how long a success counts as a sign that bills can be made safe.
+	healthyFor = 5 * clock.Second
+)
+
+// Ledger settles the bills of one instance.
+type Ledger struct {
+	// Hold asks another instance to hold bills and reports whether one did.
+	Hold func(ctx context.Context, bills []billing.Bill) bool
+	// Settled tells the instances that hold bills that they are in the log.
+	Settled func(ctx context.Context, ids []claim.RequestID)
+
+	clock   *clock.Clock
+	logger  hclog.Logger
+	batcher *platform.Batcher
+	// release decides when the final marker may be sent; the seam lets tests
+	// put a naive rule in its place.
+	release func(ctx context.Context, e *entry) error
+
+	mu        sync.Mutex
+	unsettled map[claim.RequestID]*entry
+	held      map[claim.RequestID]*heldBill
+	toldHeld  map[claim.RequestID]bool
+	lastSafe  clock.Millis
+	everTried bool
+}
+
+// entry is a bill of this instance that is not in the log yet.
+type entry struct {
+	bill billing.Bill
+	data json.RawMessage
+	safe chan struct{}
+	once sync.Once
+}
+
+func (e *entry) markSafe() {
+	e.once.Do(func() { close(e.safe) })
+}
+
+type heldBill struct {
+	bill  billing.Bill
+	since clock.Millis
+}
+
+// Option changes a Ledger.
+type Option func(*Ledger)
+
+// WithoutWaiting releases the final marker before the bill is safe. It is the
+// naive rule that the tests compare with.
+func WithoutWaiting() Option {
+	return func(l *Ledger) { l.release = func(context.Context, *entry) error { return nil } }
+}
+
+// New returns an empty Ledger.
+func New(log *platform.Log, c *clock.Clock, logger hclog.Logger, opts ...Option) *Ledger {
+	l := &Ledger{
+		Hold:      func(context.Context, []billing.Bill) bool { return false },
+		Settled:   func(context.Context, []claim.RequestID) {},
+		clock:     c,
+		logger:    logger.Named("ledger"),
+		batcher:   platform.NewBatcher(log, platform.StreamBills, c),
+		unsettled: map[claim.RequestID]*entry{},
+		held:      map[claim.RequestID]*heldBill{},
+		toldHeld:  map[claim.RequestID]bool{},
+	}
+	l.release = l.awaitSafe
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
+}
+
+// Run appends and retries until ctx ends.
+func (l *Ledger) Run(ctx context.Context) {
+	go l.batcher.Run(ctx)
+	for l.clock.Sleep(ctx, retryPeriod) == nil {
+		l.adopt()
+	}
+}
+
+// Accepting reports whether new work can be billed: the backlog has room, and
+// a bill was made safe lately or none had to be.
+func (l *Ledger) Accepting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.unsettled) >= DefaultMaxUnsettled {
+		return false
+	}
+	return len(l.unsettled) == 0 || l.clock.Mono()-l.lastSafe <= healthyFor
+}
+
+// Unsettled returns the number of own bills that are not in the log.
+func (l *Ledger) Unsettled() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.unsettled)
+}
+
+// Held returns the number of bills kept for others.
+func (l *Ledger) Held() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.held)
+}
+
+// Settle returns nil once the bill is in the log or held by another instance.
+// In any case the bill goes to the log as soon as that can be reached.
+func (l *Ledger) Settle(ctx context.Context, bill billing.Bill) error {
+	data, err := json.Marshal(bill)
+	if err != nil {
+		return fault.New("settle", KindUnsafe, "%w", err)
+	}
+	e := &entry{bill: bill, data: data, safe: make(chan struct{})}
+	l.mu.Lock()
+	if len(l.unsettled) >= DefaultMaxUnsettled {
+		l.mu.Unlock()
+		return fault.New("settle", KindFull, "%d bills wait for the log", DefaultMaxUnsettled)
+	}
+	l.unsettled[bill.ID] = e
+	if !l.everTried {
+		l.everTried = true
+		l.lastSafe = l.clock.Mono()
+	}
+	l.mu.Unlock()
+	go l.append(e)
+	return l.release(ctx, e)
+}
+
+// append tries until the bill is in the log.
+func (l *Ledger) append(e *entry) {
+	for {
+		err := <-l.batcher.Add(e.data)
+		if err == nil {
+			break
+		}
+		if l.clock.Sleep(context.Background(), retryPeriod) != nil {
+			return
+		}
+	}
+	l.mu.Lock()
+	delete(l.unsettled, e.bill.ID)
+	told := l.toldHeld[e.bill.ID]
+	delete(l.toldHeld, e.bill.ID)
+	l.lastSafe = l.clock.Mono()
+	l.mu.Unlock()
+	e.markSafe()
+	if told {
+		l.Settled(context.Background(), []claim.RequestID{e.bill.ID})
+	}
+}
+
+func (l *Ledger) awaitSafe(ctx context.Context, e *entry) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleWait.Duration())
+	defer cancel()
+	if l.waitSafe(ctx, e, holdAfter) {
+		return nil
+	}
+	for ctx.Err() == nil {
+		if l.handOver(ctx, e) {
+			return nil
+		}
+		if l.waitSafe(ctx, e, retryPeriod) {
+			return nil
+		}
+	}
+	l.logger.Error("bill-unsafe", "request", e.bill.ID)
+	return fault.New("settle", KindUnsafe, "no instance and no log took the bill")
+}
+
+func (l *Ledger) waitSafe(ctx context.Context, e *entry, span clock.Millis) bool {
+	ctx, cancel := context.WithTimeout(ctx, span.Duration())
+	defer cancel()
+	select {
+	case <-e.safe:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *Ledger) handOver(ctx context.Context, e *entry) bool {
+	l.mu.Lock()
+	l.toldHeld[e.bill.ID] = true
+	l.mu.Unlock()
+	if !l.Hold(ctx, []billing.Bill{e.bill}) {
+		return false
+	}
+	l.mu.Lock()
+	l.lastSafe = l.clock.Mono()
+	l.mu.Unlock()
+	l.logger.Info("bill-held-elsewhere", "request", e.bill.ID)
+	return true
+}
+
+// HandOverAll asks another instance to hold every unsettled bill, and reports
+// whether all are safe; it is for shutdown.
+func (l *Ledger) HandOverAll(ctx context.Context) bool {
+	l.mu.Lock()
+	bills := make([]billing.Bill, 0, len(l.unsettled))
+	for id, e := range l.unsettled {
+		bills = append(bills, e.bill)
+		l.toldHeld[id] = true
+	}
+	l.mu.Unlock()
+	return len(bills) == 0 || l.Hold(ctx, bills)
+}
+
+// TakeHeld keeps bills for another instance and returns how many it took.
+func (l *Ledger) TakeHeld(bills []billing.Bill) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	taken := 0
+	for _, bill := range bills {
+		if len(l.held) >= DefaultMaxHeld {
+			break
+		}
+		l.held[bill.ID] = &heldBill{bill: bill, since: l.clock.Mono()}
+		taken++
+	}
+	return taken
+}
+
+// DropHeld forgets held bills that are in the log.
+func (l *Ledger) DropHeld(ids []claim.RequestID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range ids {
+		delete(l.held, id)
+	}
+}
+
+// adopt appends held bills whose owner has not settled them within the grace
+// time. A bill that both append counts once, since the first of an id counts.
+func (l *Ledger) adopt() {
+	for _, bill := range l.overdue() {
+		data, err := json.Marshal(bill)
+		if err != nil {
+			continue
+		}
+		done := l.batcher.Add(data)
+		go func() {
+			if err := <-done; err == nil {
+				l.DropHeld([]claim.RequestID{bill.ID})
+				l.logger.Info("held-bill-settled", "request", bill.ID, "owner", bill.Instance)
+			}
+		}()
+	}
+}
+
+func (l *Ledger) overdue() []billing.Bill {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Mono()
+	var bills []billing.Bill
+	for _, h := range l.held {
+		if now-h.since >= heldGrace {
+			h.since = now
+			bills = append(bills, h.bill)
+		}
+	}
+	return bills
+}
--- /dev/null
+++ b/entry/members/doc.go
@@ -0,0 +1,2 @@
+// Package members follows the platform's list of instances and endpoints.
+package members
--- /dev/null
+++ b/entry/mesh/doc.go
@@ -0,0 +1,2 @@
+// Package mesh exchanges state with the other entry instances.
+package mesh
--- /dev/null
+++ b/entry/router/doc.go
@@ -0,0 +1,2 @@
+// Package router takes a caller's request from admission to its settled bill.
+package router
--- /dev/null
+++ b/link/endpoint/dial.go
@@ -0,0 +1,76 @@
+package endpoint
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+)
+
+// dialError marks an error before any byte of the request was sent.
+type dialError struct {
+	err error
+}
+
+func (e *dialError) Error() string { return "dial: " + e.err.Error() }
+
+func (e *dialError) Unwrap() error { return e.err }
+
+type coldKey struct{}
+
+// allowCold marks a context whose request may go to an endpoint in cold start.
+func allowCold(ctx context.Context) context.Context {
+	return context.WithValue(ctx, coldKey{}, true)
+}
+
+// dialProbed connects and asks for the endpoint's report on the new connection.
+// A restart breaks every connection, so no request without a permit reaches a
+// restarted process before its report was read.
+func (o *options) dialProbed(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: o.dialTimeout.Duration()}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, &dialError{err}
+	}
+	load, err := o.probe(conn, address)
+	if err != nil {
+		conn.Close()
+		return nil, &dialError{err}
+	}
+	o.observe(load)
+	cold, _ := ctx.Value(coldKey{}).(bool)
+	if load.Phase != PhaseWarm && !cold {
+		conn.Close()
+		return nil, &dialError{fmt.Errorf("endpoint is %s", load.Phase)}
+	}
+	return conn, nil
+}
+
+func (o *options) probe(conn net.Conn, address string) (*Load, error) {
+	if err := conn.SetDeadline(time.Now().Add(o.reportTimeout.Duration())); err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+"/load", nil)
+	if err != nil {
+		return nil, err
+	}
+	if err := request.Write(conn); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("report has status %d", response.StatusCode)
+	}
+	load := new(Load)
+	if err := json.NewDecoder(response.Body).Decode(load); err != nil {
+		return nil, err
+	}
+	return load, conn.SetDeadline(time.Time{})
+}
--- /dev/null
+++ b/link/endpoint/doc.go
@@ -0,0 +1,2 @@
+// Package endpoint speaks to the back ends: model engines and plain services.
+package endpoint
--- /dev/null
+++ b/link/endpoint/options.go
@@ -0,0 +1,68 @@
+package endpoint
+
+import (
+	"net/http"
+	"strconv"
+
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/gate"
+	"foxtailbridge/policy/ticket"
+)
+
+type options struct {
+	reportTimeout clock.Millis
+	dialTimeout   clock.Millis
+	idle          clock.Millis
+	observe       func(*Load)
+	seeBoot       func(gate.BootID)
+}
+
+// Option changes an endpoint client.
+type Option func(*options)
+
+// WithObserve sets the function that takes the report of each new connection.
+func WithObserve(observe func(*Load)) Option {
+	return func(o *options) { o.observe = observe }
+}
+
+// WithSeeBoot sets the function that takes the boot id of each answer.
+func WithSeeBoot(see func(gate.BootID)) Option {
+	return func(o *options) { o.seeBoot = see }
+}
+
+// WithIdle bounds the wait for the next event of a stream.
+func WithIdle(span clock.Millis) Option {
+	return func(o *options) { o.idle = span }
+}
+
+func newOptions(opts []Option) *options {
+	o := &options{
+		reportTimeout: DefaultReportTimeout,
+		dialTimeout:   DefaultDialTimeout,
+		idle:          DefaultIdle,
+		observe:       func(*Load) {},
+		seeBoot:       func(gate.BootID) {},
+	}
+	for _, opt := range opts {
+		opt(o)
+	}
+	return o
+}
+
+const (
+	maxIdleConns     = 256
+	maxIdleConnsHost = 128
+)
+
+func (o *options) workTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         o.dialProbed,
+		MaxIdleConns:        maxIdleConns,
+		MaxIdleConnsPerHost: maxIdleConnsHost,
+		DisableCompression:  true,
+	}
+}
+
+func formatOffset(offset ticket.Offset) string {
+	return strconv.FormatInt(int64(offset), 10)
+}
--- /dev/null
+++ b/link/endpoint/stream.go
@@ -0,0 +1,170 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/tmaxmax/go-sse"
+
+	"foxtailbridge/link/chat"
+	"foxtailbridge/policy/fault"
+	"foxtailbridge/policy/gate"
+)
+
+// StreamRequest is a chat completion for an engine.
+type StreamRequest struct {
+	// Body is the JSON body, which asks for a stream with usage.
+	Body []byte
+	// ResumeAt is the number of tokens that were received before, 0 to begin.
+	ResumeAt int
+}
+
+// StreamEnd is the end of a whole answer.
+type StreamEnd struct {
+	// PromptTokens and CompletionTokens count the whole answer, also after a resume.
+	PromptTokens     int
+	CompletionTokens int
+}
+
+const maxEventBytes = 1 << 20
+
+var errIdle = errors.New("no event within the idle timeout")
+
+// stream carries one streamed attempt.
+type stream struct {
+	client  *http.Client
+	base    *sling.Sling
+	options *options
+	attempt *Attempt
+	request *StreamRequest
+	chunks  int
+	end     *StreamEnd
+}
+
+func (s *stream) run(parent context.Context, emit func(string) error) (*StreamEnd, error) {
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	idle := time.AfterFunc(s.options.idle.Duration(), func() { cancel(errIdle) })
+	defer idle.Stop()
+	response, err := s.send(ctx)
+	if err != nil {
+		if context.Cause(ctx) == errIdle {
+			return nil, fault.New("stream", KindIncomplete, "%w", errIdle)
+		}
+		return nil, err
+	}
+	defer response.Body.Close()
+	s.options.seeBoot(gate.BootID(response.Header.Get(HeaderBoot)))
+	if err := s.checkAnswer(response); err != nil {
+		return nil, err
+	}
+	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			return nil, s.readError(parent, ctx, err)
+		}
+		idle.Reset(s.options.idle.Duration())
+		done, err := s.take(event.Data, emit)
+		if err != nil {
+			return nil, err
+		}
+		if done {
+			return s.finish(response.Body)
+		}
+	}
+	return nil, fault.New("stream", KindIncomplete, "stream ended after %d tokens without its final marker", s.chunks)
+}
+
+func (s *stream) send(ctx context.Context) (*http.Response, error) {
+	call := s.attempt.setHeaders(s.base.New().Post("v1/chat/completions")).
+		Set("Content-Type", "application/json").
+		Body(newBody(s.request.Body))
+	if s.request.ResumeAt > 0 {
+		call = call.Set(HeaderResumeOffset, strconv.Itoa(s.request.ResumeAt))
+	}
+	request, err := call.Request()
+	if err != nil {
+		return nil, fault.New("stream", KindNotSent, "%w", err)
+	}
+	request.ContentLength = int64(len(s.request.Body))
+	if s.attempt.MayBeCold {
+		ctx = allowCold(ctx)
+	}
+	response, err := s.client.Do(request.WithContext(ctx))
+	if err != nil {
+		return nil, sendError(ctx, "stream", err)
+	}
+	return response, nil
+}
+
+func (s *stream) checkAnswer(response *http.Response) error {
+	if err := s.attempt.checkEcho(response); err != nil {
+		return err
+	}
+	return checkStatus("stream", response)
+}
+
+// checkStatus maps the status of an endpoint's answer. Only 429 and 503 say
+// that the endpoint did not run the request.
+func checkStatus(op string, response *http.Response) error {
+	switch {
+	case response.StatusCode < http.StatusBadRequest:
+		return nil
+	case response.StatusCode == http.StatusTooManyRequests, response.StatusCode == http.StatusServiceUnavailable:
+		return fault.New(op, KindRefused, "status %d", response.StatusCode)
+	}
+	return fault.New(op, KindFailed, "status %d", response.StatusCode)
+}
+
+func (s *stream) readError(parent, ctx context.Context, err error) error {
+	switch {
+	case parent.Err() != nil:
+		return fault.New("stream", KindCanceled, "%w", context.Cause(parent))
+	case context.Cause(ctx) == errIdle:
+		return fault.New("stream", KindBroken, "%w", errIdle)
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return fault.New("stream", KindIncomplete, "%w", err)
+	}
+	return fault.New("stream", KindBroken, "%w", err)
+}
+
+// take handles the data of one event and reports whether it was the final marker.
+func (s *stream) take(data string, emit func(string) error) (bool, error) {
+	if data == chat.Done {
+		return true, nil
+	}
+	var chunk chat.Chunk
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return false, fault.New("stream", KindIncomplete, "bad event: %w", err)
+	}
+	if chunk.Usage != nil {
+		s.end = &StreamEnd{PromptTokens: chunk.Usage.PromptTokens, CompletionTokens: chunk.Usage.CompletionTokens}
+	}
+	for _, choice := range chunk.Choices {
+		if choice.Delta.Content == "" {
+			continue
+		}
+		s.chunks++
+		if err := emit(choice.Delta.Content); err != nil {
+			return false, fault.New("stream", KindCanceled, "emit: %w", err)
+		}
+	}
+	return false, nil
+}
+
+// finish checks the counts and reads to the end, so that the connection can be reused.
+func (s *stream) finish(body io.Reader) (*StreamEnd, error) {
+	if s.end == nil {
+		return nil, fault.New("stream", KindIncomplete, "no usage before the final marker")
+	}
+	if got := s.request.ResumeAt + s.chunks; got != s.end.CompletionTokens {
+		return nil, fault.New("stream", KindIncomplete, "got %d of %d tokens", got, s.end.CompletionTokens)
+	}
+	_, _ = io.Copy(io.Discard, body)
+	return s.end, nil
+}
--- /dev/null
+++ b/link/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer speaks to the other entry instances.
+package peer
--- /dev/null
+++ b/link/platform/append.go
@@ -0,0 +1,109 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+
+	"foxtailbridge/policy/clock"
+)
+
+// Defaults of a Batcher.
+const (
+	DefaultBatchBytes   = 256 << 10
+	DefaultMinInterval  = 10 * clock.Millis(1)
+	DefaultBatchBacklog = 4096
+)
+
+var errBacklog = errors.New("too many items wait for the log")
+
+// Batcher groups items into records, each a JSON array. At most one append is in
+// flight, so that the log's own latency bounds the append rate.
+type Batcher struct {
+	Log    *Log
+	Stream Stream
+	Clock  *clock.Clock
+
+	mu      sync.Mutex
+	pending []pendingItem
+	wake    chan struct{}
+}
+
+type pendingItem struct {
+	data json.RawMessage
+	done chan error
+}
+
+// NewBatcher returns a Batcher for one stream.
+func NewBatcher(log *Log, stream Stream, c *clock.Clock) *Batcher {
+	return &Batcher{Log: log, Stream: stream, Clock: c, wake: make(chan struct{}, 1)}
+}
+
+// Add queues one JSON item; the channel yields the result of its first append try.
+// An error of kind KindRefused means that the item was not and will not be written.
+func (b *Batcher) Add(item json.RawMessage) <-chan error {
+	done := make(chan error, 1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.pending) >= DefaultBatchBacklog {
+		done <- &Error{Op: "append", Kind: KindRefused, Err: errBacklog}
+		return done
+	}
+	b.pending = append(b.pending, pendingItem{data: item, done: done})
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+	return done
+}
+
+// Run appends queued items until ctx ends.
+func (b *Batcher) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.wake:
+		}
+		for b.flush(ctx) {
+			if b.Clock.Sleep(ctx, DefaultMinInterval) != nil {
+				return
+			}
+		}
+	}
+}
+
+// flush appends one record and reports whether there was one.
+func (b *Batcher) flush(ctx context.Context) bool {
+	items := b.take()
+	if len(items) == 0 {
+		return false
+	}
+	list := make([]json.RawMessage, len(items))
+	for i, item := range items {
+		list[i] = item.data
+	}
+	data, err := json.Marshal(list)
+	if err == nil {
+		_, err = b.Log.Append(ctx, b.Stream, data)
+	}
+	for _, item := range items {
+		item.done <- err
+	}
+	return true
+}
+
+func (b *Batcher) take() []pendingItem {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	size := 0
+	count := 0
+	for count < len(b.pending) && (count == 0 || size+len(b.pending[count].data) <= DefaultBatchBytes) {
+		size += len(b.pending[count].data)
+		count++
+	}
+	items := b.pending[:count:count]
+	b.pending = b.pending[count:]
+	return items
+}
--- /dev/null
+++ b/link/telemetry/doc.go
@@ -0,0 +1,2 @@
+// Package telemetry sets up logs and metrics.
+package telemetry
--- /dev/null
+++ b/policy/cascade/doc.go
@@ -0,0 +1,2 @@
+// Package cascade picks the cheapest model versions that meet a workspace's quality target.
+package cascade
--- /dev/null
+++ b/policy/evidence/evidence.go
@@ -0,0 +1,198 @@
+package evidence
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/ticket"
+)
+
+// Series names what is counted.
+type Series string
+
+// Arm is one side of a roll-out.
+type Arm string
+
+// Arms of a roll-out.
+const (
+	ArmFrom Arm = "from"
+	ArmTo   Arm = "to"
+)
+
+// RolloutSeries names the evidence on one arm of a roll-out. The ticket number
+// is part of it, so that a new ticket starts with fresh evidence.
+func RolloutSeries(name ticket.RolloutName, number ticket.Number, arm Arm) Series {
+	return Series(fmt.Sprintf("roll-out/%s/%d/%s", name, number, arm))
+}
+
+// Epoch is an hour since the Unix epoch.
+type Epoch int64
+
+// EpochOf returns the epoch of a point in Unix time.
+func EpochOf(now clock.Millis) Epoch {
+	return Epoch(now / clock.Hour)
+}
+
+// RateSeries names the ratings of one version for a workspace and class within an epoch.
+func RateSeries(workspace ticket.WorkspaceName, class ticket.Class, version ticket.VersionRef, epoch Epoch) Series {
+	return Series(fmt.Sprintf("rate/%d/%s/%s/%s", epoch, workspace, class, version))
+}
+
+// Epoch returns the epoch of a series of ratings, or false for another series.
+func (s Series) Epoch() (Epoch, bool) {
+	var epoch Epoch
+	if _, err := fmt.Sscanf(string(s), "rate/%d/", &epoch); err != nil {
+		return 0, false
+	}
+	return epoch, true
+}
+
+// Tally is a count; its fields only grow.
+type Tally struct {
+	// Exposed counts answers given to callers.
+	Exposed int64
+	// Good and Bad count ratings; a failure counts as bad.
+	Good int64
+	Bad  int64
+}
+
+// Rated returns the number of rated answers.
+func (t Tally) Rated() int64 {
+	return t.Good + t.Bad
+}
+
+func (t Tally) join(other Tally) Tally {
+	return Tally{
+		Exposed: max(t.Exposed, other.Exposed),
+		Good:    max(t.Good, other.Good),
+		Bad:     max(t.Bad, other.Bad),
+	}
+}
+
+func (t Tally) plus(other Tally) Tally {
+	return Tally{Exposed: t.Exposed + other.Exposed, Good: t.Good + other.Good, Bad: t.Bad + other.Bad}
+}
+
+func (t Tally) minus(other Tally) Tally {
+	return Tally{Exposed: t.Exposed - other.Exposed, Good: t.Good - other.Good, Bad: t.Bad - other.Bad}
+}
+
+// Row is one instance's tally of a series, as instances pass it to each other.
+type Row struct {
+	// Instance includes the run of its process, since a new run counts from zero.
+	Instance string
+	Series   Series
+	Tally    Tally
+}
+
+type cell struct {
+	instance string
+	series   Series
+}
+
+// Stamp orders the changes of one Counters.
+type Stamp uint64
+
+type counted struct {
+	tally Tally
+	stamp Stamp
+}
+
+// Counters holds a tally per instance and series; merging is commutative and
+// idempotent. It is not safe for concurrent use.
+type Counters struct {
+	self  string
+	cells map[cell]counted
+	sums  map[Series]Tally
+	stamp Stamp
+}
+
+// NewCounters returns empty Counters that count in the name of the instance.
+func NewCounters(self string) *Counters {
+	return &Counters{self: self, cells: map[cell]counted{}, sums: map[Series]Tally{}}
+}
+
+// Expose counts an answer given to a caller.
+func (c *Counters) Expose(series Series) {
+	c.add(series, Tally{Exposed: 1})
+}
+
+// Rate counts a rating or, with good false, a failure.
+func (c *Counters) Rate(series Series, good bool) {
+	if good {
+		c.add(series, Tally{Good: 1})
+		return
+	}
+	c.add(series, Tally{Bad: 1})
+}
+
+func (c *Counters) add(series Series, more Tally) {
+	id := cell{c.self, series}
+	c.set(id, c.cells[id].tally.plus(more))
+}
+
+func (c *Counters) set(id cell, tally Tally) {
+	c.stamp++
+	old := c.cells[id].tally
+	c.cells[id] = counted{tally: tally, stamp: c.stamp}
+	c.sums[id.series] = c.sums[id.series].plus(tally.minus(old))
+}
+
+// Merge folds rows from another instance and reports whether anything was new.
+func (c *Counters) Merge(rows []Row) bool {
+	changed := false
+	for _, row := range rows {
+		id := cell{row.Instance, row.Series}
+		if row.Instance == c.self {
+			continue
+		}
+		joined := c.cells[id].tally.join(row.Tally)
+		if joined != c.cells[id].tally {
+			c.set(id, joined)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Since returns the rows that changed after the stamp, in a fixed order, and
+// the stamp to ask with next time.
+func (c *Counters) Since(stamp Stamp) ([]Row, Stamp) {
+	var rows []Row
+	for id, counted := range c.cells {
+		if counted.stamp > stamp {
+			rows = append(rows, Row{Instance: id.instance, Series: id.series, Tally: counted.tally})
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Series, b.Series), cmp.Compare(a.Instance, b.Instance))
+	})
+	return rows, c.stamp
+}
+
+// Sum adds the tallies of all instances.
+func (c *Counters) Sum(series Series) Tally {
+	return c.sums[series]
+}
+
+// Own returns this instance's tally.
+func (c *Counters) Own(series Series) Tally {
+	return c.cells[cell{c.self, series}].tally
+}
+
+// Len returns the number of tallies held.
+func (c *Counters) Len() int {
+	return len(c.cells)
+}
+
+// Retain forgets the series that keep rejects.
+func (c *Counters) Retain(keep func(Series) bool) {
+	for id := range c.cells {
+		if !keep(id.series) {
+			delete(c.cells, id)
+			delete(c.sums, id.series)
+		}
+	}
+}
--- /dev/null
+++ b/policy/routing/routing.go
@@ -0,0 +1,348 @@
+package routing
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"foxtailbridge/policy/ticket"
+)
+
+// EndpointID identifies an endpoint.
+type EndpointID string
+
+// Endpoint is one endpoint as an instance sees it.
+type Endpoint struct {
+	ID     EndpointID
+	Zone   ticket.ZoneName
+	Serves Serves
+	// Leaving is true once any source says that the endpoint leaves.
+	Leaving bool
+	// Warm is true while nothing says that the endpoint is in cold start.
+	Warm bool
+	// Down is true while the endpoint cannot be reached.
+	Down bool
+	// Ejected is true while its error rate stands out.
+	Ejected bool
+	// Slots is how many requests the endpoint runs at once.
+	Slots int
+	// Own is this instance's requests in flight.
+	Own int
+	// Reported is the endpoint's own count of requests at its last report,
+	// and OwnAtReport this instance's part of it.
+	Reported    int
+	OwnAtReport int
+}
+
+// Load estimates the endpoint's occupied share of slots; it may exceed 1.
+func (e *Endpoint) Load() float64 {
+	others := max(0, e.Reported-e.OwnAtReport)
+	return float64(e.Own+others) / float64(max(1, e.Slots))
+}
+
+func (e *Endpoint) usable() Reason {
+	switch {
+	case e.Down:
+		return ReasonDown
+	case !e.Warm:
+		return ReasonCold
+	}
+	return Permitted
+}
+
+// Pool indexes endpoints by what they serve and by zone, in a fixed order.
+type Pool struct {
+	byServes map[Serves]*group
+}
+
+type group struct {
+	zones []zoneGroup
+}
+
+type zoneGroup struct {
+	zone      ticket.ZoneName
+	endpoints []*Endpoint
+}
+
+// NewPool returns a Pool over the endpoints.
+func NewPool(endpoints []*Endpoint) *Pool {
+	sorted := slices.Clone(endpoints)
+	slices.SortFunc(sorted, func(a, b *Endpoint) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.ID, b.ID))
+	})
+	p := &Pool{byServes: map[Serves]*group{}}
+	for _, e := range sorted {
+		p.add(e)
+	}
+	return p
+}
+
+func (p *Pool) add(e *Endpoint) {
+	g := p.byServes[e.Serves]
+	if g == nil {
+		g = &group{}
+		p.byServes[e.Serves] = g
+	}
+	last := len(g.zones) - 1
+	if last < 0 || g.zones[last].zone != e.Zone {
+		g.zones = append(g.zones, zoneGroup{zone: e.Zone})
+		last++
+	}
+	g.zones[last].endpoints = append(g.zones[last].endpoints, e)
+}
+
+// Slots sums the slots of the endpoints that serve s and are usable.
+func (p *Pool) Slots(s Serves) int {
+	total := 0
+	if g := p.byServes[s]; g != nil {
+		for _, z := range g.zones {
+			for _, e := range z.endpoints {
+				if !e.Leaving && e.usable() == Permitted {
+					total += e.Slots
+				}
+			}
+		}
+	}
+	return total
+}
+
+// All calls yield for each endpoint that serves s.
+func (p *Pool) All(s Serves, yield func(*Endpoint)) {
+	if g := p.byServes[s]; g != nil {
+		for _, z := range g.zones {
+			for _, e := range z.endpoints {
+				yield(e)
+			}
+		}
+	}
+}
+
+// Query asks for an endpoint.
+type Query struct {
+	View      *ticket.View
+	Fresh     *Freshness
+	Workspace ticket.WorkspaceName
+	Target    Target
+	// Prefix is the digest of the prompt prefix, or 0 for no preference.
+	Prefix uint64
+	// Tried holds the endpoints that must not get this request again.
+	Tried []EndpointID
+	// Alone asks for an endpoint that runs nothing else.
+	Alone bool
+}
+
+// Choice is the outcome of a decision.
+type Choice struct {
+	// Endpoint is the choice, or nil.
+	Endpoint *Endpoint
+	Reason   Reason
+	// Considered counts the endpoints that were looked at.
+	Considered int
+}
+
+// Reasons for a choice.
+const (
+	ReasonLeastOfTwo Reason = "least-of-two"
+	ReasonPrefix     Reason = "prefix-affinity"
+	ReasonOtherZone  Reason = "own-zone-full"
+	ReasonOnly       Reason = "only-candidate"
+)
+
+const (
+	// affinitySlack is how much more load the endpoint that probably caches
+	// the prefix may have than the best sampled one, in shares of its slots.
+	affinitySlack = 0.25
+	// spillLoad is the load from which another zone is preferred.
+	spillLoad = 1.0
+	// samples is how many random endpoints are compared.
+	samples = 2
+	// draws bounds the random draws before every endpoint is looked at.
+	draws = 6
+)
+
+// Choose returns the endpoint for a query. It prefers the instance's own zone,
+// there the endpoint that probably caches the prefix, else the less loaded of
+// two random endpoints.
+func (p *Pool) Choose(q *Query, random *rand.Rand) Choice {
+	g := p.byServes[q.Target.Serves()]
+	if g == nil {
+		return Choice{Reason: ReasonNoEndpoint}
+	}
+	d := decision{query: q, random: random, refusal: ReasonNoEndpoint}
+	own := d.inZone(g, true)
+	if own.Endpoint != nil && own.Endpoint.Load() < spillLoad {
+		return own
+	}
+	other := d.inZone(g, false)
+	if own.Endpoint == nil && other.Endpoint == nil {
+		return d.lastResort(g)
+	}
+	if own.Endpoint == nil || other.Endpoint != nil && other.Endpoint.Load()+affinitySlack < own.Endpoint.Load() {
+		other.Considered += own.Considered
+		other.Reason = ReasonOtherZone
+		return other
+	}
+	return own
+}
+
+// decision carries one Choose call.
+type decision struct {
+	query   *Query
+	random  *rand.Rand
+	refusal Reason
+	looked  int
+}
+
+func (d *decision) check(e *Endpoint, allowEjected bool) bool {
+	d.looked++
+	reason := d.verdict(e, allowEjected)
+	if reason != Permitted {
+		d.refusal = reason
+	}
+	return reason == Permitted
+}
+
+func (d *decision) verdict(e *Endpoint, allowEjected bool) Reason {
+	q := d.query
+	if reason := e.usable(); reason != Permitted {
+		return reason
+	}
+	if e.Ejected && !allowEjected {
+		return ReasonEjected
+	}
+	if slices.Contains(q.Tried, e.ID) {
+		return ReasonTriedBefore
+	}
+	if q.Alone && e.Load() > 0 {
+		return ReasonFull
+	}
+	return PermitDispatch(q.View, q.Fresh, q.Workspace, q.Target, e)
+}
+
+// inZone chooses within the instance's zone, or within all the others.
+func (d *decision) inZone(g *group, own bool) Choice {
+	best := Choice{}
+	for i := range g.zones {
+		z := &g.zones[i]
+		if (z.zone == d.query.Fresh.Zone) != own {
+			continue
+		}
+		e, reason := d.within(z.endpoints)
+		if e != nil && (best.Endpoint == nil || e.Load() < best.Endpoint.Load()) {
+			best.Endpoint, best.Reason = e, reason
+		}
+	}
+	best.Considered = d.looked
+	return best
+}
+
+func (d *decision) within(endpoints []*Endpoint) (*Endpoint, Reason) {
+	sampled, count := d.sample(endpoints)
+	if sampled == nil {
+		return nil, d.refusal
+	}
+	if e := d.affine(endpoints, sampled); e != nil {
+		return e, ReasonPrefix
+	}
+	if count == 1 {
+		return sampled, ReasonOnly
+	}
+	return sampled, ReasonLeastOfTwo
+}
+
+// sample returns the less loaded of up to two random permitted endpoints.
+func (d *decision) sample(endpoints []*Endpoint) (*Endpoint, int) {
+	var best *Endpoint
+	found := 0
+	if len(endpoints) > draws {
+		for draw := 0; draw < draws && found < samples; draw++ {
+			e := endpoints[d.random.IntN(len(endpoints))]
+			if e == best || !d.check(e, false) {
+				continue
+			}
+			found++
+			best = lessLoaded(best, e)
+		}
+		if found > 0 {
+			return best, found
+		}
+	}
+	return d.scan(endpoints)
+}
+
+// scan samples two of all permitted endpoints.
+func (d *decision) scan(endpoints []*Endpoint) (*Endpoint, int) {
+	var kept [samples]*Endpoint
+	found := 0
+	for _, e := range endpoints {
+		if !d.check(e, false) {
+			continue
+		}
+		found++
+		if found <= samples {
+			kept[found-1] = e
+		} else if at := d.random.IntN(found); at < samples {
+			kept[at] = e
+		}
+	}
+	best := kept[0]
+	if found > 1 {
+		best = lessLoaded(kept[0], kept[1])
+	}
+	return best, found
+}
+
+func lessLoaded(a, b *Endpoint) *Endpoint {
+	if a == nil || b.Load() < a.Load() {
+		return b
+	}
+	return a
+}
+
+// affine returns the endpoint with the highest rendezvous weight for the prefix,
+// if its load is near that of the sampled one.
+func (d *decision) affine(endpoints []*Endpoint, sampled *Endpoint) *Endpoint {
+	if d.query.Prefix == 0 {
+		return nil
+	}
+	var best *Endpoint
+	var bestWeight uint64
+	for _, e := range endpoints {
+		if weight := Weight(d.query.Prefix, string(e.ID)); best == nil || weight > bestWeight {
+			best, bestWeight = e, weight
+		}
+	}
+	if best.Load() > sampled.Load()+affinitySlack || !d.check(best, false) {
+		return nil
+	}
+	return best
+}
+
+// lastResort allows ejected endpoints, so that ejection never empties a pool.
+func (d *decision) lastResort(g *group) Choice {
+	var best *Endpoint
+	for _, z := range g.zones {
+		for _, e := range z.endpoints {
+			if e.Ejected && d.check(e, true) {
+				best = lessLoaded(best, e)
+			}
+		}
+	}
+	if best == nil {
+		return Choice{Reason: d.refusal, Considered: d.looked}
+	}
+	return Choice{Endpoint: best, Reason: ReasonEjected, Considered: d.looked}
+}
+
+// Weight is the rendezvous weight of a member for a key.
+func Weight(key uint64, member string) uint64 {
+	h := xxhash.Sum64String(member) ^ (key * 0x9e3779b97f4a7c15)
+	h ^= h >> 32
+	h *= 0xd6e8feb86659fd93
+	h ^= h >> 32
+	h *= 0xd6e8feb86659fd93
+	h ^= h >> 32
+	return h
+}
--- /dev/null
+++ b/policy/ticket/state.go
@@ -0,0 +1,219 @@
+package ticket
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ObjectKind names a kind of configuration object.
+type ObjectKind string
+
+// Kinds of objects.
+const (
+	ObjectWorkspace ObjectKind = "workspace"
+	ObjectVersion   ObjectKind = "version"
+	ObjectRollout   ObjectKind = "roll-out"
+	ObjectZone      ObjectKind = "zone"
+	ObjectService   ObjectKind = "service"
+)
+
+// Entry is the state of one object as of the ticket that set it.
+type Entry struct {
+	Kind   ObjectKind      `json:"kind"`
+	Name   string          `json:"name"`
+	Number Number          `json:"number"`
+	Offset Offset          `json:"offset"`
+	Body   json.RawMessage `json:"body"`
+}
+
+// supersedes reports whether e goes before other: the higher ticket number wins,
+// and of equal numbers the one that was appended first.
+func (e *Entry) supersedes(other *Entry) bool {
+	if e.Number != other.Number {
+		return e.Number > other.Number
+	}
+	return e.Offset < other.Offset
+}
+
+type objectID struct {
+	kind ObjectKind
+	name string
+}
+
+// Record is what the configuration stream of the log holds: a ticket or a snapshot.
+type Record struct {
+	// Nonce identifies one append, so that its author recognizes it when reading.
+	Nonce    string  `json:"nonce"`
+	Ticket   *Ticket `json:"ticket,omitempty"`
+	Snapshot []Entry `json:"snapshot,omitempty"`
+}
+
+// State is the merged configuration; merging is commutative, associative and idempotent.
+// It is safe for concurrent use.
+type State struct {
+	mu      sync.Mutex
+	entries map[objectID]Entry
+	newest  Offset
+	view    atomic.Pointer[View]
+}
+
+// NewState returns an empty State.
+func NewState() *State {
+	s := &State{entries: map[objectID]Entry{}}
+	s.view.Store(newView(nil, 0))
+	return s
+}
+
+// View returns the current configuration, which never changes once returned.
+func (s *State) View() *View {
+	return s.view.Load()
+}
+
+// ApplyRecord folds a record read at the offset and returns the entries that took effect.
+// Records that do not decode or validate are skipped by every instance alike.
+func (s *State) ApplyRecord(at Offset, data []byte) ([]Entry, error) {
+	var record Record
+	if err := json.Unmarshal(data, &record); err != nil {
+		return nil, fmt.Errorf("offset %d: %w", at, err)
+	}
+	entries := record.Snapshot
+	if record.Ticket != nil {
+		if err := record.Ticket.Validate(); err != nil {
+			return nil, fmt.Errorf("offset %d: %w", at, err)
+		}
+		entries = record.Ticket.Entries(at)
+	}
+	return s.Merge(entries), nil
+}
+
+// Merge folds entries from the log or from another instance and returns those that took effect.
+func (s *State) Merge(entries []Entry) []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var changed []Entry
+	for _, e := range entries {
+		id := objectID{e.Kind, e.Name}
+		current, ok := s.entries[id]
+		if ok && !e.supersedes(&current) {
+			continue
+		}
+		s.entries[id] = e
+		s.newest = max(s.newest, e.Offset)
+		changed = append(changed, e)
+	}
+	if len(changed) > 0 {
+		s.view.Store(newView(s.sorted(), s.newest))
+	}
+	return changed
+}
+
+// Entries returns the state in a fixed order.
+func (s *State) Entries() []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sorted()
+}
+
+func (s *State) sorted() []Entry {
+	list := make([]Entry, 0, len(s.entries))
+	for _, e := range s.entries {
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return list
+}
+
+// Digest identifies a state: equal states have equal digests.
+type Digest uint64
+
+func digest(entries []Entry) Digest {
+	h := xxhash.New()
+	for i := range entries {
+		e := &entries[i]
+		fmt.Fprintf(h, "%s/%s/%d/%d;", e.Kind, e.Name, e.Number, e.Offset)
+	}
+	return Digest(h.Sum64())
+}
+
+// View is an immutable typed form of a State.
+type View struct {
+	// Digest identifies the state.
+	Digest Digest
+	// Newest is the highest offset of a ticket that is in force.
+	Newest     Offset
+	Objects    int
+	Workspaces map[WorkspaceName]*Workspace
+	Versions   map[VersionRef]*ModelVersion
+	Rollouts   map[RolloutName]*Rollout
+	Zones      map[ZoneName]*Zone
+	Services   map[ServiceName]*Service
+	numbers    map[objectID]Number
+}
+
+func newView(entries []Entry, newest Offset) *View {
+	v := &View{
+		Digest:     digest(entries),
+		Newest:     newest,
+		Objects:    len(entries),
+		Workspaces: map[WorkspaceName]*Workspace{},
+		Versions:   map[VersionRef]*ModelVersion{},
+		Rollouts:   map[RolloutName]*Rollout{},
+		Zones:      map[ZoneName]*Zone{},
+		Services:   map[ServiceName]*Service{},
+		numbers:    map[objectID]Number{},
+	}
+	for i := range entries {
+		v.add(&entries[i])
+	}
+	return v
+}
+
+func (v *View) add(e *Entry) {
+	v.numbers[objectID{e.Kind, e.Name}] = e.Number
+	switch e.Kind {
+	case ObjectWorkspace:
+		insert(v.Workspaces, WorkspaceName(e.Name), e.Body)
+	case ObjectVersion:
+		insert(v.Versions, VersionRef(e.Name), e.Body)
+	case ObjectRollout:
+		insert(v.Rollouts, RolloutName(e.Name), e.Body)
+	case ObjectZone:
+		insert(v.Zones, ZoneName(e.Name), e.Body)
+	case ObjectService:
+		insert(v.Services, ServiceName(e.Name), e.Body)
+	}
+}
+
+// insert decodes the body into a map; an undecodable object stays unroutable.
+func insert[K comparable, T any](m map[K]*T, key K, body []byte) {
+	value := new(T)
+	if json.NewDecoder(bytes.NewReader(body)).Decode(value) == nil {
+		m[key] = value
+	}
+}
+
+// Number returns the ticket number that set the object, or 0 if none did.
+func (v *View) Number(kind ObjectKind, name string) Number {
+	return v.numbers[objectID{kind, name}]
+}
+
+// VersionActive reports whether the version is known and not withdrawn.
+func (v *View) VersionActive(ref VersionRef) bool {
+	version := v.Versions[ref]
+	return version != nil && version.State == VersionActive
+}
+
+// ZoneIn reports whether the availability zone may get new work; unknown zones may.
+func (v *View) ZoneIn(name ZoneName) bool {
+	zone := v.Zones[name]
+	return zone == nil || zone.State == ZoneIn
+}
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Checks format, vet and staticcheck over every module of the workspace.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+modules=$(go list -m -f '{{.Dir}}')
+unformatted=$(gofmt -l $modules)
+if [[ -n $unformatted ]]; then
+	echo "not formatted by gofmt:" $unformatted >&2
+	exit 1
+fi
+go vet work
+GOWORK=off go build -C tools/lint -o ../../bin/staticcheck honnef.co/go/tools/cmd/staticcheck
+bin/staticcheck -checks all,-ST1000,-ST1020,-ST1021,-ST1022 $(printf '%s/... ' $modules)
+echo "lint: ok"
--- /dev/null
+++ b/scripts/stack.sh
@@ -0,0 +1,54 @@
+# Functions that start and stop the demo's processes; sourced by the other scripts.
+
+run_dir=${RUN_DIR:-run}
+pids=()
+
+# start NAME COMMAND...: runs a process in the background with its output in run_dir.
+start() {
+	local name=$1
+	shift
+	"$@" >"$run_dir/$name.out" 2>"$run_dir/$name.log" &
+	pids+=($!)
+}
+
+# stop_all: ends the processes, entry instances first so that they drain.
+stop_all() {
+	local pid
+	for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+		pid=${pids[i]}
+		kill -TERM "$pid" 2>/dev/null || true
+		if ((i >= ${#pids[@]} - 2)); then
+			wait "$pid" 2>/dev/null || true
+		fi
+	done
+	wait 2>/dev/null || true
+}
+
+# wait_for URL: waits until the URL answers with success.
+wait_for() {
+	local url=$1 tries=0
+	until curl -sf -o /dev/null "$url"; do
+		tries=$((tries + 1))
+		if ((tries > 200)); then
+			echo "no answer from $url; see $run_dir" >&2
+			return 1
+		fi
+		sleep 0.1
+	done
+}
+
+# start_stack: stand-ins first, then two entry instances.
+start_stack() {
+	mkdir -p "$run_dir"
+	start log bin/standin log -listen 127.0.0.1:7001
+	start directory bin/standin directory -listen 127.0.0.1:7002 -list examples/listing.yaml
+	start rating bin/standin rating -listen 127.0.0.1:7003
+	start engine-a1 bin/standin engine -listen 127.0.0.1:9001 -id engine-a1 -version returns@1
+	start engine-a2 bin/standin engine -listen 127.0.0.1:9002 -id engine-a2 -version returns@2 -poor-percent 5
+	start engine-b1 bin/standin engine -listen 127.0.0.1:9003 -id engine-b1 -version returns@1
+	start stock-a1 bin/standin service -listen 127.0.0.1:9004
+	start entry-a1 bin/entry run -settings examples/entry-a1.yaml
+	start entry-b1 bin/entry run -settings examples/entry-b1.yaml
+	wait_for http://127.0.0.1:8101/readyz
+	wait_for http://127.0.0.1:8102/readyz
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Runs the linters and all tests, passing over just what KNOWN-RED.txt lists.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/lint.sh
+red=$(sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd'|')
+if [[ -n $red ]]; then
+	echo "known red, passed over:"
+	cat KNOWN-RED.txt
+fi
+go test ${red:+-skip "^($red)\$"} -count=1 work
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Command standin runs stand-ins of the systems that foxtailbridge serves and uses.
+package main
