Prove that a refund runs at most once and that not-run is true

Cause: the claim path had no proof under failure.

What is run: whole instances against the stand-ins under virtual time (testing/synctest); the plain service is the witness.

Ruled out: a closed id that a retry could reopen. A copy that is still under way could then run after its caller was told not-run, so not-run closes the id for good and a new try needs a new key.

--- a/entry/claims/claims.go
+++ b/entry/claims/claims.go
@@ -305,12 +305,11 @@
 func (c *Claimer) appendDone(p *partition, data []byte) {
 	end := c.clock.Mono() + keepFor
 	for c.clock.Mono() < end {
-		if err := <-p.batcher.Add(data); err == nil {
-			return
-		}
-		if c.clock.Sleep(context.Background(), finishRetry) != nil {
+		err := <-p.batcher.Add(data)
+		if err == nil || fault.KindOf[platform.Kind](err) == platform.KindClosed {
 			return
 		}
+		_ = c.clock.Sleep(context.Background(), finishRetry)
 	}
 }
 
--- a/entry/ledger/ledger.go
+++ b/entry/ledger/ledger.go
@@ -168,16 +168,13 @@
 	return l.release(ctx, e)
 }
 
-// append tries until the bill is in the log.
+// append tries until the bill is in the log or the ledger stops.
 func (l *Ledger) append(e *entry) {
-	for {
-		err := <-l.batcher.Add(e.data)
-		if err == nil {
-			break
-		}
-		if l.clock.Sleep(context.Background(), retryPeriod) != nil {
+	for err := <-l.batcher.Add(e.data); err != nil; err = <-l.batcher.Add(e.data) {
+		if fault.KindOf[platform.Kind](err) == platform.KindClosed {
 			return
 		}
+		_ = l.clock.Sleep(context.Background(), retryPeriod)
 	}
 	l.mu.Lock()
 	delete(l.unsettled, e.bill.ID)
--- /dev/null
+++ b/entry/promises/witness_test.go
@@ -0,0 +1,144 @@
+package promises
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"foxtailbridge/link/caller"
+	"foxtailbridge/link/chat"
+	"foxtailbridge/link/platform"
+	"foxtailbridge/policy/billing"
+	"foxtailbridge/policy/claim"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/ticket"
+	"foxtailbridge/standin/engine"
+	"foxtailbridge/standin/service"
+)
+
+func mustJSON(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// parse reads the outcome out of a problem, and the final marker out of a stream.
+func (r *reply) parse() {
+	var problem caller.Problem
+	text := r.body
+	if strings.HasPrefix(text, "data:") {
+		r.done = r.done && strings.Contains(text, "data: "+chat.Done)
+		for line := range strings.Lines(text) {
+			if strings.Contains(line, `"outcome"`) {
+				text = strings.TrimPrefix(strings.TrimSpace(line), "data: ")
+			}
+		}
+	}
+	if json.Unmarshal([]byte(text), &problem) == nil && problem.Code != "" {
+		r.outcome = problem.Outcome
+		r.code = string(problem.Code)
+	}
+	r.id = claim.RequestID(r.header.Get(caller.HeaderRequestID))
+}
+
+// ranTwice returns the requests that took effect more than once.
+func ranTwice(runs []service.Run) []string {
+	count := map[string]int{}
+	var twice []string
+	for _, run := range runs {
+		count[run.Request]++
+		if count[run.Request] == 2 {
+			twice = append(twice, run.Request)
+		}
+	}
+	return twice
+}
+
+// falseNotRun returns the refusals that said not-run of a request that ran.
+func falseNotRun(replies []*reply, runs []service.Run) []claim.RequestID {
+	ran := map[string]bool{}
+	for _, run := range runs {
+		ran[run.Request] = true
+	}
+	var wrong []claim.RequestID
+	for _, r := range replies {
+		if r.done && r.outcome == claim.StateNotRun && ran[string(r.id)] {
+			wrong = append(wrong, r.id)
+		}
+	}
+	return wrong
+}
+
+// billsIn folds the bill stream as the finance system would.
+func billsIn(records []platform.Record) *billing.Fold {
+	fold := billing.NewFold()
+	for _, record := range records {
+		var bills []billing.Bill
+		if json.Unmarshal(record.Data, &bills) != nil {
+			continue
+		}
+		for _, bill := range bills {
+			fold.Add(bill)
+		}
+	}
+	return fold
+}
+
+// unbilled returns the whole answers that no bill in the log counts.
+func unbilled(replies []*reply, fold *billing.Fold) []claim.RequestID {
+	var missing []claim.RequestID
+	for _, r := range replies {
+		if r.whole() && !fold.Has(r.id) {
+			missing = append(missing, r.id)
+		}
+	}
+	return missing
+}
+
+// billedTwice returns the requests that the fold counted more than once.
+func billedTwice(fold *billing.Fold) []claim.RequestID {
+	seen := map[claim.RequestID]bool{}
+	var twice []claim.RequestID
+	for _, bill := range fold.Bills() {
+		if seen[bill.ID] {
+			twice = append(twice, bill.ID)
+		}
+		seen[bill.ID] = true
+	}
+	return twice
+}
+
+// startsAfter returns the requests that an engine began after a time.
+func startsAfter(events []engine.Event, at clock.Millis) []string {
+	var late []string
+	for _, e := range events {
+		if e.Kind == engine.EventStart && e.At > at {
+			late = append(late, fmt.Sprintf("%s on %s %d ms late", e.Request, e.Engine, e.At-at))
+		}
+	}
+	return late
+}
+
+// coldPeak returns the most requests that an engine had at once in cold start.
+func coldPeak(events []engine.Event) int {
+	peak := 0
+	for _, e := range events {
+		if e.Kind == engine.EventStart && e.Cold {
+			peak = max(peak, e.InFlight)
+		}
+	}
+	return peak
+}
+
+// versionsOf returns the versions that ran requests of the given ids.
+func versionsOf(events []engine.Event, ids map[claim.RequestID]bool) map[ticket.VersionRef]int {
+	versions := map[ticket.VersionRef]int{}
+	for _, e := range events {
+		if e.Kind == engine.EventStart && ids[claim.RequestID(e.Request)] {
+			versions[e.Version]++
+		}
+	}
+	return versions
+}
--- a/link/platform/append.go
+++ b/link/platform/append.go
@@ -16,7 +16,10 @@
 	DefaultBatchBacklog = 4096
 )
 
-var errBacklog = errors.New("too many items wait for the log")
+var (
+	errBacklog = errors.New("too many items wait for the log")
+	errClosed  = errors.New("the batcher has stopped")
+)
 
 // Batcher groups items into records, each a JSON array. At most one append is in
 // flight, so that the log's own latency bounds the append rate.
@@ -28,6 +31,7 @@
 	mu      sync.Mutex
 	pending []pendingItem
 	wake    chan struct{}
+	closed  bool
 }
 
 type pendingItem struct {
@@ -41,12 +45,17 @@
 }
 
 // Add queues one JSON item; the channel yields the result of its first append try.
-// An error of kind KindRefused means that the item was not and will not be written.
+// An error of kind KindRefused or KindClosed means that the item was not and
+// will not be written.
 func (b *Batcher) Add(item json.RawMessage) <-chan error {
 	done := make(chan error, 1)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.pending) >= DefaultBatchBacklog {
+	switch {
+	case b.closed:
+		done <- &Error{Op: "append", Kind: KindClosed, Err: errClosed}
+		return done
+	case len(b.pending) >= DefaultBatchBacklog:
 		done <- &Error{Op: "append", Kind: KindRefused, Err: errBacklog}
 		return done
 	}
@@ -58,8 +67,9 @@
 	return done
 }
 
-// Run appends queued items until ctx ends.
+// Run appends queued items until ctx ends, then refuses more.
 func (b *Batcher) Run(ctx context.Context) {
+	defer b.close()
 	for {
 		select {
 		case <-ctx.Done():
@@ -74,6 +84,16 @@
 	}
 }
 
+func (b *Batcher) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	for _, item := range b.pending {
+		item.done <- &Error{Op: "append", Kind: KindClosed, Err: errClosed}
+	}
+	b.pending = nil
+}
+
 // flush appends one record and reports whether there was one.
 func (b *Batcher) flush(ctx context.Context) bool {
 	items := b.take()
--- a/link/platform/log.go
+++ b/link/platform/log.go
@@ -24,6 +24,8 @@
 	KindRefused Kind = "refused"
 	// KindUncertain means that a call may have taken effect.
 	KindUncertain Kind = "uncertain"
+	// KindClosed means that this client has stopped.
+	KindClosed Kind = "closed"
 	// KindMalformed means that the platform's answer did not decode.
 	KindMalformed Kind = "malformed"
 )
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -100,13 +100,9 @@
 	if refused {
 		return nil, fault.New("call", endpoint.KindRefused, "service refuses")
 	}
-	defer s.leave()
-	if faults.Delay > 0 && s.clock.Sleep(ctx, faults.Delay) != nil {
-		return nil, fault.New("call", endpoint.KindCanceled, "%w", ctx.Err())
+	if err := s.effect(ctx, faults.Delay, Run{Request: attempt.Request, Attempt: attempt.ID, Call: request.Call, Body: string(request.Body)}); err != nil {
+		return nil, fault.New("call", endpoint.KindCanceled, "%w", err)
 	}
-	s.mu.Lock()
-	s.runs = append(s.runs, Run{Request: attempt.Request, Attempt: attempt.ID, Call: request.Call, Body: string(request.Body)})
-	s.mu.Unlock()
 	switch {
 	case faults.LoseAnswers > 0:
 		return nil, fault.New("call", endpoint.KindBroken, "answer lost")
@@ -120,6 +116,25 @@
 	return &endpoint.CallAnswer{Status: http.StatusOK, ContentType: "application/json", Body: body}, nil
 }
 
+// effect waits and notes the run, also if the caller goes away meanwhile.
+func (s *Service) effect(ctx context.Context, delay clock.Millis, run Run) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.clock.Sleep(context.WithoutCancel(ctx), delay)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.runs = append(s.runs, run)
+		s.inFlight--
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // draw counts a call in and uses up the faults that it meets.
 func (s *Service) draw() (Faults, bool) {
 	s.mu.Lock()
@@ -138,12 +153,6 @@
 	return met, false
 }
 
-func (s *Service) leave() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.inFlight--
-}
-
 const maxBodyBytes = 1 << 20
 
 // Handler serves the service over HTTP.
