--- a/entry/config/config.go
+++ b/entry/config/config.go
@@ -64,6 +64,7 @@
 	retention clock.Millis
 	state     *ticket.State
 	tail      *platform.Tail
+	trusting  bool
 
 	mu        sync.Mutex
 	confirmed map[ticket.ZoneName]clock.Millis
@@ -101,6 +102,12 @@
 	return func(s *Store) { s.retention = span }
 }
 
+// WithoutFreshness takes every view for confirmed. It is the naive rule that
+// the tests compare with.
+func WithoutFreshness() Option {
+	return func(s *Store) { s.trusting = true }
+}
+
 // Run follows the log and republishes the state before it expires, until ctx ends.
 func (s *Store) Run(ctx context.Context) {
 	go s.tail.Run(ctx)
@@ -184,7 +191,7 @@
 // Fresh returns how well the view is confirmed now.
 func (s *Store) Fresh() *routing.Freshness {
 	age, read := s.tail.Age()
-	fresh := &routing.Freshness{Zone: s.zone, LogFresh: read && age <= DefaultFreshFor}
+	fresh := &routing.Freshness{Zone: s.zone, LogFresh: s.trusting || read && age <= DefaultFreshFor}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Mono()
--- a/entry/instance/instance.go
+++ b/entry/instance/instance.go
@@ -51,6 +51,7 @@
 	Ledger []ledger.Option
 	Gate   []gatekeeper.Option
 	Config []config.Option
+	Learn  []learning.Option
 }
 
 // Instance is one entry instance.
@@ -89,7 +90,7 @@
 	i.Ledger = ledger.New(out.Log, c, logger, o.Ledger...)
 	i.fleet = fleet.New(out.Log, c)
 	i.Gate = gatekeeper.New(s.Instance, s.Zone, i.fleet, c, logger, o.Gate...)
-	i.Learner = learning.New(s.Instance+"#"+run, out.Ratings, c, logger)
+	i.Learner = learning.New(s.Instance+"#"+run, out.Ratings, c, logger, o.Learn...)
 	parts := mesh.Parts{
 		Members: i.Members, Config: i.Config, Learner: i.Learner, Claims: i.Claims, Ledger: i.Ledger, Gate: i.Gate,
 	}
--- a/entry/learning/learning.go
+++ b/entry/learning/learning.go
@@ -49,13 +49,24 @@
 	counters *evidence.Counters
 	stops    map[fleet.Stop]bool
 	crashes  *quarantine.Ledger
+	// lenient lets suspects run like others.
+	lenient  bool
 	pending  []platform.Answer
 	sequence int64
 }
 
+// Option changes a Learner.
+type Option func(*Learner)
+
+// WithoutQuarantine lets requests run however many endpoints they crashed. It
+// is the naive rule that the tests compare with.
+func WithoutQuarantine() Option {
+	return func(l *Learner) { l.lenient = true }
+}
+
 // New returns a Learner; self includes the run of the process.
-func New(self string, ratings *platform.Ratings, c *clock.Clock, logger hclog.Logger) *Learner {
-	return &Learner{
+func New(self string, ratings *platform.Ratings, c *clock.Clock, logger hclog.Logger, opts ...Option) *Learner {
+	l := &Learner{
 		Position: func() rollout.Position { return rollout.Position{Instances: 1} },
 		Urgent:   func() {},
 		Rated:    func(platform.Rating) {},
@@ -66,6 +77,10 @@
 		stops:    map[fleet.Stop]bool{},
 		crashes:  quarantine.NewLedger(),
 	}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
 }
 
 // Run hands in answers, fetches ratings and judges until ctx ends.
@@ -312,6 +327,9 @@
 func (l *Learner) Verdict(digest quarantine.Digest) quarantine.Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.lenient {
+		return quarantine.VerdictClear
+	}
 	return l.crashes.Judge(digest)
 }
 
--- a/entry/ledger/ledger.go
+++ b/entry/ledger/ledger.go
@@ -41,8 +41,6 @@
 	// heldGrace is how long the owner of a held bill has to settle it itself.
 	heldGrace   = 15 * clock.Second
 	retryPeriod = 500 * clock.Millis(1)
-	// healthyFor is how long a success counts as a sign that bills can be made safe.
-	healthyFor = 5 * clock.Second
 )
 
 // Ledger settles the bills of one instance.
@@ -63,8 +61,8 @@
 	unsettled map[claim.RequestID]*entry
 	held      map[claim.RequestID]*heldBill
 	toldHeld  map[claim.RequestID]bool
-	lastSafe  clock.Millis
-	everTried bool
+	// stuck holds the bills that could not be made safe in time.
+	stuck map[claim.RequestID]*entry
 }
 
 // entry is a bill of this instance that is not in the log yet.
@@ -104,6 +102,7 @@
 		unsettled: map[claim.RequestID]*entry{},
 		held:      map[claim.RequestID]*heldBill{},
 		toldHeld:  map[claim.RequestID]bool{},
+		stuck:     map[claim.RequestID]*entry{},
 	}
 	l.release = l.awaitSafe
 	for _, opt := range opts {
@@ -117,18 +116,31 @@
 	go l.batcher.Run(ctx)
 	for l.clock.Sleep(ctx, retryPeriod) == nil {
 		l.adopt()
+		l.retryStuck(ctx)
 	}
 }
 
 // Accepting reports whether new work can be billed: the backlog has room, and
-// a bill was made safe lately or none had to be.
+// every bill before it was made safe in time.
 func (l *Ledger) Accepting() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.unsettled) >= DefaultMaxUnsettled {
-		return false
+	return len(l.unsettled) < DefaultMaxUnsettled && len(l.stuck) == 0
+}
+
+// retryStuck asks again for a holder of the bills that are not safe yet.
+func (l *Ledger) retryStuck(ctx context.Context) {
+	l.mu.Lock()
+	entries := make([]*entry, 0, len(l.stuck))
+	for _, e := range l.stuck {
+		entries = append(entries, e)
+	}
+	l.mu.Unlock()
+	for _, e := range entries {
+		if !l.handOver(ctx, e) {
+			return
+		}
 	}
-	return len(l.unsettled) == 0 || l.clock.Mono()-l.lastSafe <= healthyFor
 }
 
 // Unsettled returns the number of own bills that are not in the log.
@@ -159,10 +171,6 @@
 		return fault.New("settle", KindFull, "%d bills wait for the log", DefaultMaxUnsettled)
 	}
 	l.unsettled[bill.ID] = e
-	if !l.everTried {
-		l.everTried = true
-		l.lastSafe = l.clock.Mono()
-	}
 	l.mu.Unlock()
 	go l.append(e)
 	return l.release(ctx, e)
@@ -180,7 +188,7 @@
 	delete(l.unsettled, e.bill.ID)
 	told := l.toldHeld[e.bill.ID]
 	delete(l.toldHeld, e.bill.ID)
-	l.lastSafe = l.clock.Mono()
+	delete(l.stuck, e.bill.ID)
 	l.mu.Unlock()
 	e.markSafe()
 	if told {
@@ -202,6 +210,11 @@
 			return nil
 		}
 	}
+	l.mu.Lock()
+	if l.unsettled[e.bill.ID] == e {
+		l.stuck[e.bill.ID] = e
+	}
+	l.mu.Unlock()
 	l.logger.Error("bill-unsafe", "request", e.bill.ID)
 	return fault.New("settle", KindUnsafe, "no instance and no log took the bill")
 }
@@ -225,7 +238,7 @@
 		return false
 	}
 	l.mu.Lock()
-	l.lastSafe = l.clock.Mono()
+	delete(l.stuck, e.bill.ID)
 	l.mu.Unlock()
 	l.logger.Info("bill-held-elsewhere", "request", e.bill.ID)
 	return true
--- a/entry/promises/harness_test.go
+++ b/entry/promises/harness_test.go
@@ -105,7 +105,7 @@
 		n.kill()
 	}
 	w.calls.Wait()
-	time.Sleep(30 * time.Minute)
+	time.Sleep(2 * time.Minute)
 	synctest.Wait()
 }
 
@@ -246,6 +246,17 @@
 	return nil
 }
 
+// reachLive is reach for a request: like net/http, it sends nothing once the context has ended.
+func (n *node) reachLive(ctx context.Context, other string) error {
+	if err := n.reach(other); err != nil {
+		return fault.New("dial", endpoint.KindNotSent, "%w", err)
+	}
+	if ctx.Err() != nil {
+		return fault.New("dial", endpoint.KindCanceled, "%w", ctx.Err())
+	}
+	return nil
+}
+
 // cut breaks the way from one side to another, each an instance, a zone or the platform.
 func (w *world) cut(from, to string) {
 	w.mu.Lock()
@@ -282,7 +293,12 @@
 			if err := n.reach(platformSide); err != nil {
 				return nil, fault.New("read", platform.KindUncertain, "%w", err)
 			}
-			return n.world.log.Read(ctx, stream, from, limit, wait)
+			batch, err := n.world.log.Read(ctx, stream, from, limit, wait)
+			if err == nil {
+				// A network that was cut meanwhile drops the answer.
+				err = n.reach(platformSide)
+			}
+			return batch, err
 		},
 	}
 }
@@ -332,14 +348,14 @@
 		},
 		Give: direct.Give,
 		Stream: func(ctx context.Context, a *endpoint.Attempt, r *endpoint.StreamRequest, emit func(string) error) (*endpoint.StreamEnd, error) {
-			if err := n.reach(zone); err != nil {
-				return nil, fault.New("dial", endpoint.KindNotSent, "%w", err)
+			if err := n.reachLive(ctx, zone); err != nil {
+				return nil, err
 			}
 			return direct.Stream(ctx, a, r, emit)
 		},
 		Call: func(ctx context.Context, a *endpoint.Attempt, r *endpoint.CallRequest) (*endpoint.CallAnswer, error) {
-			if err := n.reach(zone); err != nil {
-				return nil, fault.New("dial", endpoint.KindNotSent, "%w", err)
+			if err := n.reachLive(ctx, zone); err != nil {
+				return nil, err
 			}
 			return direct.Call(ctx, a, r)
 		},
@@ -516,3 +532,32 @@
 	w.settle(2 * time.Second)
 	return a, b
 }
+
+func contextUntil(parent context.Context, span time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(parent, span)
+}
+
+const escalatingTicket = `
+ticket: 2
+author: test
+versions:
+  - {ref: large@1, state: active, cost-micros: 1000, quality: 0.99}
+  - {ref: small@1, state: active, cost-micros: 100, quality: 0.6}
+workspaces:
+  - name: desk
+    allowed: [large@1, small@1]
+    quality-target: 0.9
+    escalate: true
+    deadline-ms: 20000
+    classes: [{name: triage, cheaper: [small@1]}]
+`
+
+// escalating starts an instance whose cheap version always answers poorly.
+func (w *world) escalating() {
+	w.engine("engine-small", "a", engine.Config{Version: "small@1", FirstToken: 20, Token: 5, PoorPercent: 100})
+	w.engine("engine-large", "a", engine.Config{Version: "large@1", FirstToken: 20, Token: 5})
+	w.node("node-a", "a")
+	w.publish(baseTicket)
+	w.publish(escalatingTicket)
+	w.settle(2 * time.Second)
+}
--- a/entry/promises/witness_test.go
+++ b/entry/promises/witness_test.go
@@ -11,7 +11,6 @@
 	"foxtailbridge/policy/billing"
 	"foxtailbridge/policy/claim"
 	"foxtailbridge/policy/clock"
-	"foxtailbridge/policy/ticket"
 	"foxtailbridge/standin/engine"
 	"foxtailbridge/standin/service"
 )
@@ -132,13 +131,10 @@
 	return peak
 }
 
-// versionsOf returns the versions that ran requests of the given ids.
-func versionsOf(events []engine.Event, ids map[claim.RequestID]bool) map[ticket.VersionRef]int {
-	versions := map[ticket.VersionRef]int{}
-	for _, e := range events {
-		if e.Kind == engine.EventStart && ids[claim.RequestID(e.Request)] {
-			versions[e.Version]++
-		}
+// problem returns why the caller did not get a whole answer, or "".
+func (r *reply) problem() string {
+	if r.whole() {
+		return ""
 	}
-	return versions
+	return fmt.Sprintf("status %d, done %t: %s", r.status, r.done, r.body)
 }
--- a/entry/router/attempts.go
+++ b/entry/router/attempts.go
@@ -21,10 +21,12 @@
 )
 
 const (
-	// maxAttempts bounds the dispatches of one version for one request.
+	// maxAttempts bounds the dispatches that may have run, for one request and version.
 	maxAttempts = 4
-	// endpointWait is how often a request without an endpoint looks again.
-	endpointWait = 25 * clock.Millis(1)
+	// endpointWait is how soon a request without an endpoint looks again; the
+	// wait doubles up to maxEndpointWait.
+	endpointWait    = 25 * clock.Millis(1)
+	maxEndpointWait = 400 * clock.Millis(1)
 	// brokenWait bounds the search for an endpoint that continues a stream.
 	brokenWait = 5 * clock.Second
 )
@@ -36,6 +38,8 @@
 	tried   []routing.EndpointID
 	sent    bool
 	alone   bool
+	// pause is the last wait for an endpoint.
+	pause clock.Millis
 	// begun is set with the first token; another goroutine watches it.
 	begun atomic.Bool
 	// submitted is true once the answer was handed in to be rated.
@@ -50,8 +54,8 @@
 func (a *attempts) run(ctx context.Context) *caller.Problem {
 	a.job.router.parts.Learner.Expose(a.version)
 	var last error
-	for range maxAttempts {
-		if a.sent && !a.job.router.takeRetry() {
+	for ran := 0; ran < maxAttempts; {
+		if ran > 0 && !a.job.router.takeRetry() {
 			return a.giveUp(ctx, last, "no retry budget")
 		}
 		a.alone = a.job.router.parts.Learner.Verdict(a.job.digest) == quarantine.VerdictSuspect
@@ -66,18 +70,25 @@
 		if p := a.afterFailure(ctx, dispatch, last); p != nil {
 			return p
 		}
+		if mayHaveRun(last) {
+			ran++
+		}
 	}
 	return a.giveUp(ctx, last, "too many attempts")
 }
 
+// mayHaveRun reports whether a failed attempt may have reached an engine.
+func mayHaveRun(err error) bool {
+	kind := fault.KindOf[endpoint.Kind](err)
+	return kind != endpoint.KindNotSent && kind != endpoint.KindRefused
+}
+
 // afterFailure returns a problem if the request must not be tried again.
 func (a *attempts) afterFailure(ctx context.Context, d *pool.Dispatch, err error) *caller.Problem {
 	kind := fault.KindOf[endpoint.Kind](err)
 	r := a.job.router
 	r.decide("attempt-failed", "request", a.job.ID, "endpoint", d.ID, "kind", kind, "tokens", a.received, "error", err)
-	if kind != endpoint.KindNotSent && kind != endpoint.KindRefused {
-		a.sent = true
-	}
+	a.sent = a.sent || mayHaveRun(err)
 	if kind != endpoint.KindIncomplete {
 		// An engine that only cut the stream can resume it.
 		a.tried = append(a.tried, d.ID)
@@ -139,10 +150,11 @@
 		if d != nil {
 			return d, permit, nil
 		}
-		if !waitable(reason) || r.clock.Mono()+endpointWait > deadline {
+		a.pause = min(max(2*a.pause, endpointWait), maxEndpointWait)
+		if !waitable(reason) || r.clock.Mono()+a.pause > deadline {
 			return nil, nil, a.nowhere(reason)
 		}
-		if r.clock.Sleep(ctx, endpointWait) != nil {
+		if r.clock.Sleep(ctx, a.pause) != nil {
 			return nil, nil, a.canceled(ctx)
 		}
 		if reason == routing.ReasonTriedBefore {
