--- /dev/null
+++ b/loadtest/processes/doc.go
@@ -0,0 +1,2 @@
+// Package processes holds the tests that need real processes: kills, stops and signals.
+package processes
