--- a/entry/learning/learning.go
+++ b/entry/learning/learning.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
@@ -20,9 +21,6 @@
 const (
 	// DefaultPeriod is how often ratings are fetched and roll-outs judged.
 	DefaultPeriod = 500 * clock.Millis(1)
-	// epochs is how many hours of ratings count, each older one at epochWeight of the next.
-	epochs      = 6
-	epochWeight = 0.7
 	// submitBatch bounds the answers handed in at once, maxPending those that wait.
 	submitBatch = 256
 	maxPending  = 4096
@@ -47,6 +45,7 @@
 
 	mu       sync.Mutex
 	counters *evidence.Counters
+	unrated  map[evidence.Series]*rollout.Outstanding
 	stops    map[fleet.Stop]bool
 	crashes  *quarantine.Ledger
 	// lenient lets suspects run like others.
@@ -74,6 +73,7 @@
 		logger:   logger.Named("learning"),
 		ratings:  ratings,
 		counters: evidence.NewCounters(self),
+		unrated:  map[evidence.Series]*rollout.Outstanding{},
 		stops:    map[fleet.Stop]bool{},
 		crashes:  quarantine.NewLedger(),
 	}
@@ -140,6 +140,7 @@
 	l.counters.Rate(evidence.RateSeries(rating.Workspace, rating.Class, rating.Version, epoch), rating.Good)
 	for _, series := range l.series(rating.Version) {
 		l.counters.Rate(series, rating.Good)
+		l.outstanding(series).Rate()
 	}
 	l.mu.Unlock()
 	l.Rated(rating)
@@ -151,15 +152,27 @@
 	defer l.mu.Unlock()
 	for _, series := range l.series(version) {
 		l.counters.Rate(series, false)
+		l.outstanding(series).Rate()
 	}
 }
 
+// outstanding returns the unrated answers of a series; the caller holds the lock.
+func (l *Learner) outstanding(series evidence.Series) *rollout.Outstanding {
+	o := l.unrated[series]
+	if o == nil {
+		o = &rollout.Outstanding{}
+		l.unrated[series] = o
+	}
+	return o
+}
+
 // Expose counts an answer of a version that a caller gets.
 func (l *Learner) Expose(version ticket.VersionRef) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, series := range l.series(version) {
 		l.counters.Expose(series)
+		l.outstanding(series).Expose(l.clock.Mono())
 	}
 }
 
@@ -180,20 +193,11 @@
 	return list
 }
 
-// Count returns the ratings of a version, older hours at less weight.
+// Count returns the ratings of a version, older ones at less weight.
 func (l *Learner) Count(key cascade.Key) cascade.Count {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := evidence.EpochOf(l.clock.Wall())
-	var count cascade.Count
-	weight := 1.0
-	for age := range evidence.Epoch(epochs) {
-		sum := l.counters.Sum(evidence.RateSeries(key.Workspace, key.Class, key.Version, now-age))
-		count.Good += weight * float64(sum.Good)
-		count.Bad += weight * float64(sum.Bad)
-		weight *= epochWeight
-	}
-	return count
+	return cascade.Recall(l.counters, key, evidence.EpochOf(l.clock.Wall()))
 }
 
 // Judge stops every running roll-out whose new version turns out worse.
@@ -278,9 +282,9 @@
 		}
 		series := evidence.RolloutSeries(name, view.Number(ticket.ObjectRollout, string(name)), evidence.ArmTo)
 		l.mu.Lock()
-		own, sum := l.counters.Own(series), l.counters.Sum(series)
+		unrated, sum := l.outstanding(series).Count(l.clock.Mono()), l.counters.Sum(series)
 		l.mu.Unlock()
-		assignment := rollout.Assign(r, key, own, sum, l.Position())
+		assignment := rollout.Assign(r, key, unrated, sum, l.Position())
 		if assignment == rollout.AssignTo {
 			return r.To, assignment
 		}
@@ -361,7 +365,7 @@
 	l.counters.Merge(rows)
 }
 
-// forget drops the ratings of old hours and the evidence of ended roll-outs.
+// forget drops the ratings of old epochs and the evidence of ended roll-outs.
 func (l *Learner) forget() {
 	view := l.View()
 	current := map[evidence.Series]bool{}
@@ -370,13 +374,14 @@
 		current[evidence.RolloutSeries(name, number, evidence.ArmFrom)] = true
 		current[evidence.RolloutSeries(name, number, evidence.ArmTo)] = true
 	}
-	oldest := evidence.EpochOf(l.clock.Wall()) - epochs
+	oldest := evidence.EpochOf(l.clock.Wall()) - cascade.Epochs
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	maps.DeleteFunc(l.unrated, func(series evidence.Series, _ *rollout.Outstanding) bool { return !current[series] })
 	l.counters.Retain(func(series evidence.Series) bool {
-		if epoch, ok := series.Epoch(); ok {
-			return epoch > oldest
+		if series.Rollout != "" {
+			return current[series]
 		}
-		return current[series]
+		return series.Epoch > oldest
 	})
 }
--- a/entry/mesh/wire.go
+++ b/entry/mesh/wire.go
@@ -30,9 +30,19 @@
 func rowsToWire(rows []evidence.Row) []*peerv1.Counter {
 	wire := make([]*peerv1.Counter, 0, len(rows))
 	for _, row := range rows {
+		series := &row.Series
 		wire = append(wire, &peerv1.Counter{
-			Instance: row.Instance, Series: string(row.Series),
-			Exposed: row.Tally.Exposed, Good: row.Tally.Good, Bad: row.Tally.Bad,
+			Instance:  row.Instance,
+			RollOut:   string(series.Rollout),
+			Number:    int64(series.Number),
+			Arm:       string(series.Arm),
+			Workspace: string(series.Workspace),
+			Class:     string(series.Class),
+			Version:   string(series.Version),
+			Epoch:     int64(series.Epoch),
+			Exposed:   row.Tally.Exposed,
+			Good:      row.Tally.Good,
+			Bad:       row.Tally.Bad,
 		})
 	}
 	return wire
@@ -42,7 +52,16 @@
 	rows := make([]evidence.Row, 0, len(wire))
 	for _, w := range wire {
 		rows = append(rows, evidence.Row{
-			Instance: w.Instance, Series: evidence.Series(w.Series),
+			Instance: w.Instance,
+			Series: evidence.Series{
+				Rollout:   ticket.RolloutName(w.RollOut),
+				Number:    ticket.Number(w.Number),
+				Arm:       evidence.Arm(w.Arm),
+				Workspace: ticket.WorkspaceName(w.Workspace),
+				Class:     ticket.Class(w.Class),
+				Version:   ticket.VersionRef(w.Version),
+				Epoch:     evidence.Epoch(w.Epoch),
+			},
 			Tally: evidence.Tally{Exposed: w.Exposed, Good: w.Good, Bad: w.Bad},
 		})
 	}
--- a/policy/cascade/cascade.go
+++ b/policy/cascade/cascade.go
@@ -40,16 +40,23 @@
 }
 
 const (
-	// maxExplore bounds the share of requests that explore.
-	maxExplore = 0.05
-	// exploreLoss bounds the quality lost by exploring, as a share of answers.
-	exploreLoss = 0.004
+	// minExplore and maxExplore bound the share of requests that explore.
+	minExplore = 0.03
+	maxExplore = 0.25
+	// surplusShare is the part of the quality above the target that exploring may use up.
+	surplusShare = 0.5
+	// minRatings is how many ratings it takes to give a version up: an assumed
+	// quality alone does not keep it from being tried.
+	minRatings = 20
+	// tolerance is how far below the target a version's lower bound may lie.
+	tolerance = 0.005
 )
 
 type option struct {
-	ref  ticket.VersionRef
-	cost float64
-	rate Estimate
+	ref     ticket.VersionRef
+	cost    float64
+	rate    Estimate
+	ratings float64
 }
 
 // Plan returns the cheapest plan whose lower confidence bound meets the target,
@@ -80,7 +87,13 @@
 			continue
 		}
 		key := Key{Workspace: q.Workspace.Name, Class: q.Class, Version: ref}
-		list = append(list, option{ref: ref, cost: float64(version.Cost), rate: NewEstimate(q.Count(key), version.Quality)})
+		count := q.Count(key)
+		list = append(list, option{
+			ref:     ref,
+			cost:    float64(version.Cost),
+			rate:    NewEstimate(count, version.Quality),
+			ratings: count.total(),
+		})
 	}
 	slices.SortStableFunc(list, func(a, b option) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.ref, b.ref))
@@ -110,7 +123,7 @@
 func pick(options []option, target float64) (option, Reason) {
 	best := options[0]
 	for _, o := range options {
-		if o.rate.Lower >= target {
+		if o.rate.Lower >= target-tolerance {
 			return o, ReasonMeetsTarget
 		}
 		if o.rate.Mean > best.rate.Mean {
@@ -121,21 +134,30 @@
 }
 
 // explore picks a cheaper version that may still turn out to meet the target.
+// What the chosen version has above the target pays for what the explored one
+// may lack, so that the mixture stays at the target.
 func explore(options []option, chosen option, target float64, random *rand.Rand) (option, bool) {
+	var viable []option
 	for _, o := range options {
-		if o.cost >= chosen.cost {
-			return option{}, false
-		}
-		if o.rate.Upper < target {
-			continue
-		}
-		share := maxExplore
-		if loss := target - o.rate.Lower; loss > 0 {
-			share = min(share, exploreLoss/loss)
+		if o.cost < chosen.cost && (o.rate.Upper >= target || o.ratings < minRatings) {
+			viable = append(viable, o)
 		}
-		return o, random.Float64() < share
 	}
-	return option{}, false
+	if len(viable) == 0 {
+		return option{}, false
+	}
+	// One that hovers at the target must not keep the others from being tried.
+	o := viable[random.IntN(len(viable))]
+	return o, random.Float64() < exploreShare(o.rate, chosen.rate, target)
+}
+
+func exploreShare(explored, chosen Estimate, target float64) float64 {
+	surplus := max(0, chosen.Lower-target)
+	loss := target - explored.Lower
+	if loss <= 0 {
+		return maxExplore
+	}
+	return max(minExplore, min(maxExplore, surplusShare*surplus/(surplus+loss)))
 }
 
 // cheaperFirst finds the version that lowers the expected cost most when it is
--- a/policy/cascade/estimator.go
+++ b/policy/cascade/estimator.go
@@ -26,11 +26,15 @@
 const (
 	// priorWeight is how many ratings the operator's assumed quality is worth.
 	priorWeight = 10
-	// confidenceZ is the normal quantile of the one-sided 95% confidence bound.
-	confidenceZ = 1.645
+	// lowerZ is the normal quantile of the lower bound: a version is used for
+	// good once it meets the target with 84% confidence.
+	lowerZ = 1.0
+	// upperZ is that of the upper bound: a version is given up only with 99%
+	// confidence, since giving up a good one costs more than trying a poor one.
+	upperZ = 2.5
 )
 
-// Estimate is a pass rate with a confidence interval, each 0 to 1.
+// Estimate is a pass rate with its confidence bounds, each 0 to 1.
 type Estimate struct {
 	Mean  float64
 	Lower float64
@@ -41,13 +45,13 @@
 func NewEstimate(count Count, prior float64) Estimate {
 	weight := count.total() + priorWeight
 	mean := (count.Good + priorWeight*prior) / weight
-	return wilson(mean, weight)
+	return Estimate{Mean: mean, Lower: wilson(mean, weight, -lowerZ), Upper: wilson(mean, weight, upperZ)}
 }
 
-// wilson returns the Wilson score interval around a mean.
-func wilson(mean, weight float64) Estimate {
-	const z2 = confidenceZ * confidenceZ
+// wilson returns the Wilson score bound of a mean on the side of the sign of z.
+func wilson(mean, weight, z float64) float64 {
+	z2 := z * z
 	center := (mean + z2/(2*weight)) / (1 + z2/weight)
-	half := confidenceZ / (1 + z2/weight) * math.Sqrt(mean*(1-mean)/weight+z2/(4*weight*weight))
-	return Estimate{Mean: mean, Lower: max(0, center-half), Upper: min(1, center+half)}
+	half := z / (1 + z2/weight) * math.Sqrt(mean*(1-mean)/weight+z2/(4*weight*weight))
+	return min(max(center+half, 0), 1)
 }
--- a/policy/evidence/evidence.go
+++ b/policy/evidence/evidence.go
@@ -2,15 +2,23 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/ticket"
 )
 
-// Series names what is counted.
-type Series string
+// Series names what is counted: an arm of a roll-out, or the ratings of a
+// version for a workspace and class within an epoch.
+type Series struct {
+	Rollout   ticket.RolloutName
+	Number    ticket.Number
+	Arm       Arm
+	Workspace ticket.WorkspaceName
+	Class     ticket.Class
+	Version   ticket.VersionRef
+	Epoch     Epoch
+}
 
 // Arm is one side of a roll-out.
 type Arm string
@@ -24,29 +32,35 @@
 // RolloutSeries names the evidence on one arm of a roll-out. The ticket number
 // is part of it, so that a new ticket starts with fresh evidence.
 func RolloutSeries(name ticket.RolloutName, number ticket.Number, arm Arm) Series {
-	return Series(fmt.Sprintf("roll-out/%s/%d/%s", name, number, arm))
+	return Series{Rollout: name, Number: number, Arm: arm}
 }
 
-// Epoch is an hour since the Unix epoch.
+// Epoch counts spans of EpochSpan since the Unix epoch.
 type Epoch int64
 
+// EpochSpan is the span over which ratings are counted together.
+const EpochSpan = 6 * clock.Hour
+
 // EpochOf returns the epoch of a point in Unix time.
 func EpochOf(now clock.Millis) Epoch {
-	return Epoch(now / clock.Hour)
+	return Epoch(now / EpochSpan)
 }
 
 // RateSeries names the ratings of one version for a workspace and class within an epoch.
 func RateSeries(workspace ticket.WorkspaceName, class ticket.Class, version ticket.VersionRef, epoch Epoch) Series {
-	return Series(fmt.Sprintf("rate/%d/%s/%s/%s", epoch, workspace, class, version))
+	return Series{Workspace: workspace, Class: class, Version: version, Epoch: epoch}
 }
 
-// Epoch returns the epoch of a series of ratings, or false for another series.
-func (s Series) Epoch() (Epoch, bool) {
-	var epoch Epoch
-	if _, err := fmt.Sscanf(string(s), "rate/%d/", &epoch); err != nil {
-		return 0, false
-	}
-	return epoch, true
+func (s Series) compare(other Series) int {
+	return cmp.Or(
+		cmp.Compare(s.Rollout, other.Rollout),
+		cmp.Compare(s.Number, other.Number),
+		cmp.Compare(s.Arm, other.Arm),
+		cmp.Compare(s.Epoch, other.Epoch),
+		cmp.Compare(s.Workspace, other.Workspace),
+		cmp.Compare(s.Class, other.Class),
+		cmp.Compare(s.Version, other.Version),
+	)
 }
 
 // Tally is a count; its fields only grow.
@@ -167,7 +181,7 @@
 		}
 	}
 	slices.SortFunc(rows, func(a, b Row) int {
-		return cmp.Or(cmp.Compare(a.Series, b.Series), cmp.Compare(a.Instance, b.Instance))
+		return cmp.Or(a.Series.compare(b.Series), cmp.Compare(a.Instance, b.Instance))
 	})
 	return rows, c.stamp
 }
--- a/policy/rollout/rollout.go
+++ b/policy/rollout/rollout.go
@@ -23,35 +23,44 @@
 	falseStopRate = 0.005
 	// baselineWeight is how many ratings the operator's assumed quality is worth.
 	baselineWeight = 50
+	// baselineDoubt is the part of its standard error by which the old
+	// version's rate is lowered.
+	baselineDoubt = 0.5
 	// minRate and maxRate keep likelihoods finite.
 	minRate = 0.02
 	maxRate = 0.98
 )
 
-// drops are the losses of pass rate against which the new version is tested.
-var drops = []float64{0.03, 0.08, 0.2, 0.4, 0.8}
+// loss is a drop of the pass rate against which the new version is tested, with
+// its weight in the mixture.
+type loss struct {
+	drop   float64
+	weight float64
+}
+
+var losses = []loss{{0.03, 0.1}, {0.08, 0.2}, {0.2, 0.4}, {0.4, 0.2}, {0.8, 0.1}}
 
 // Judge runs a sequential test of the new version's ratings against the old
 // version's pass rate: a mixture of likelihood ratios over several losses.
 // prior is the assumed pass rate of the old version, 0 to 1.
 func Judge(from, to evidence.Tally, prior float64) Verdict {
 	baseline := baselineRate(from, prior)
-	var ratios float64
-	for _, drop := range drops {
-		ratios += math.Exp(logRatio(to, baseline, drop))
+	var ratio float64
+	for _, l := range losses {
+		ratio += l.weight * math.Exp(logRatio(to, baseline, l.drop))
 	}
-	if ratios/float64(len(drops)) >= 1/falseStopRate {
+	if ratio >= 1/falseStopRate {
 		return VerdictStop
 	}
 	return VerdictContinue
 }
 
-// baselineRate estimates the old version's pass rate and lowers it by its own
-// standard error, so that a lucky old version does not condemn the new one.
+// baselineRate estimates the old version's pass rate and lowers it by a part of
+// its standard error, so that a lucky old version does not condemn the new one.
 func baselineRate(from evidence.Tally, prior float64) float64 {
 	weight := float64(from.Rated()) + baselineWeight
 	mean := (float64(from.Good) + baselineWeight*prior) / weight
-	rate := mean - math.Sqrt(mean*(1-mean)/weight)
+	rate := mean - baselineDoubt*math.Sqrt(mean*(1-mean)/weight)
 	return min(max(rate, minRate), maxRate)
 }
 
@@ -64,9 +73,9 @@
 
 const (
 	// firstExposure is how many unrated answers of a new version the fleet risks at first.
-	firstExposure = 16
+	firstExposure = 8
 	// exposurePerGood is how many more it risks for each answer rated good.
-	exposurePerGood = 0.5
+	exposurePerGood = 0.25
 )
 
 // Allowance returns how many answers of the new version may be unrated at once
@@ -106,9 +115,9 @@
 	Instances int
 }
 
-// Assign decides for one session or request key. The own tally counts what
-// this instance exposed, the sum what the fleet is known to have counted.
-func Assign(r *ticket.Rollout, key string, own, sum evidence.Tally, at Position) Assignment {
+// Assign decides for one session or request key. unrated is what this instance
+// exposed and has no rating for yet, sum what the fleet is known to have counted.
+func Assign(r *ticket.Rollout, key string, unrated int64, sum evidence.Tally, at Position) Assignment {
 	switch r.State {
 	case ticket.RolloutDone:
 		return AssignTo
@@ -118,7 +127,6 @@
 	if !inShare(r, key) {
 		return AssignFrom
 	}
-	unrated := own.Exposed - own.Rated()
 	if unrated >= Quota(Allowance(sum), at.Rank, at.Instances) {
 		return AssignHeld
 	}
