Measure and mend endpoint choice and overload

Cause: engines ran full of audits, and instances cannot see in time what others send to the same engine.

Cause: requests were started just before their deadline and missed it at the engine.

--- a/entry/instance/instance.go
+++ b/entry/instance/instance.go
@@ -29,6 +29,7 @@
 	"foxtailbridge/link/settings"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/quarantine"
+	"foxtailbridge/policy/rollout"
 	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/session"
 	"foxtailbridge/policy/ticket"
@@ -85,7 +86,7 @@
 	i := &Instance{clock: c, logger: logger}
 	i.Members = members.New(platform.InstanceID(s.Instance), seeds(s), out.Directory, c, logger)
 	i.Config = config.New(s.Zone, out.Log, c, logger, o.Config...)
-	i.Pool = pool.New(out.Connect, c, random(), logger)
+	i.Pool = pool.New(s.Zone, out.Connect, c, random(), logger)
 	i.Claims = claims.New(s.Instance, s.ClaimPartitions, out.Log, c, logger, o.Claims...)
 	i.Ledger = ledger.New(out.Log, c, logger, o.Ledger...)
 	i.fleet = fleet.New(out.Log, c)
@@ -113,6 +114,7 @@
 
 // connectParts sets the functions through which the parts reach each other.
 func (i *Instance) connectParts(s *settings.Entry) {
+	i.Pool.ZonePosition = func() rollout.Position { return i.Members.ZonePosition(s.Zone) }
 	i.Members.Listed = i.Pool.SetListing
 	i.Config.Rank = func() int { return i.Members.Position().Rank }
 	i.Config.Changed = func(source config.Source) {
--- a/entry/members/members.go
+++ b/entry/members/members.go
@@ -105,11 +105,20 @@
 
 // Position returns this instance's place among the live instances by id.
 func (m *Members) Position() rollout.Position {
+	return m.position(func(platform.InstanceListing) bool { return true })
+}
+
+// ZonePosition returns this instance's place among the live instances of its zone.
+func (m *Members) ZonePosition(zone ticket.ZoneName) rollout.Position {
+	return m.position(func(l platform.InstanceListing) bool { return l.Zone == zone })
+}
+
+func (m *Members) position(counts func(platform.InstanceListing) bool) rollout.Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	position := rollout.Position{Instances: 1}
 	for _, instance := range m.listing.Instances {
-		if instance.ID == m.self || instance.Presence == platform.PresenceLeaving {
+		if instance.ID == m.self || instance.Presence == platform.PresenceLeaving || !counts(instance) {
 			continue
 		}
 		position.Instances++
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -13,6 +13,7 @@
 	"foxtailbridge/policy/fault"
 	"foxtailbridge/policy/gate"
 	"foxtailbridge/policy/quarantine"
+	"foxtailbridge/policy/rollout"
 	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/ticket"
 )
@@ -49,7 +50,10 @@
 type Pool struct {
 	// Suspect is told of each request that was in flight when an endpoint died.
 	Suspect func(quarantine.Suspicion)
+	// ZonePosition returns the instance's place among those of its zone.
+	ZonePosition func() rollout.Position
 
+	zone    ticket.ZoneName
 	clock   *clock.Clock
 	logger  hclog.Logger
 	connect Connect
@@ -76,16 +80,18 @@
 	stop     context.CancelFunc
 }
 
-// New returns an empty Pool.
-func New(connect Connect, c *clock.Clock, random *rand.Rand, logger hclog.Logger) *Pool {
+// New returns an empty Pool of an instance in the zone.
+func New(zone ticket.ZoneName, connect Connect, c *clock.Clock, random *rand.Rand, logger hclog.Logger) *Pool {
 	return &Pool{
-		Suspect: func(quarantine.Suspicion) {},
-		clock:   c,
-		logger:  logger.Named("pool"),
-		connect: connect,
-		random:  random,
-		members: map[routing.EndpointID]*member{},
-		index:   routing.NewPool(nil),
+		Suspect:      func(quarantine.Suspicion) {},
+		ZonePosition: func() rollout.Position { return rollout.Position{Instances: 1} },
+		zone:         zone,
+		clock:        c,
+		logger:       logger.Named("pool"),
+		connect:      connect,
+		random:       random,
+		members:      map[routing.EndpointID]*member{},
+		index:        routing.NewPool(nil),
 	}
 }
 
@@ -209,6 +215,8 @@
 	if changed {
 		p.reindex()
 	}
+	at := p.ZonePosition()
+	p.index.SetHome(p.zone, at.Rank, at.Instances)
 }
 
 func serves(l *platform.EndpointListing) routing.Serves {
--- a/entry/router/attempts.go
+++ b/entry/router/attempts.go
@@ -288,6 +288,7 @@
 func (a *attempts) emit(text string) error {
 	if a.received == 0 {
 		a.begun.Store(true)
+		a.job.router.queue.begun(a.job.place)
 		a.job.router.metrics.Timer("first-token").Record((a.job.router.clock.Mono() - a.job.began).Duration())
 		if a.job.streaming && a.job.Begin != nil {
 			a.job.Begin(a.version)
--- a/entry/router/chat.go
+++ b/entry/router/chat.go
@@ -79,6 +79,7 @@
 	cost      billing.Micros
 	tokens    billing.Tokens
 	streaming bool
+	place     *place
 }
 
 // Chat serves a chat completion; it returns the whole answer once its bill is
@@ -105,6 +106,7 @@
 		return nil, j.shed(shed)
 	}
 	defer r.queue.leave(place)
+	j.place = place
 	r.Reached(StepAdmitted, request.ID)
 	return j.run(ctx, plan)
 }
--- a/entry/router/queue.go
+++ b/entry/router/queue.go
@@ -107,6 +107,13 @@
 	q.advance()
 }
 
+// begun notes the first token of a request.
+func (q *queue) begun(p *place) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.limiter.Begun(q.clock.Mono() - p.began)
+}
+
 func (q *queue) tick() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -19,7 +19,7 @@
 	Share int
 	// MaxInFlight bounds the workspace's own requests.
 	MaxInFlight int
-	// Deadline is when the request must have started.
+	// Deadline is when the request must have its first token.
 	Deadline clock.Millis
 }
 
@@ -69,8 +69,22 @@
 	// spanWeight is the weight of a new observation in the mean service time.
 	spanWeight  = 0.05
 	initialSpan = float64(clock.Second)
+	// firstMargin is how many mean times to the first token a request must
+	// still have when it starts.
+	firstMargin = 3
 )
 
+// ceilings are the shares of the limit up to which each priority may fill it
+// while urgent requests come in, so that those find room at once.
+var ceilings = map[ticket.Priority]float64{
+	ticket.PriorityUrgent:     1,
+	ticket.PriorityNormal:     0.85,
+	ticket.PriorityDeferrable: 0.62,
+}
+
+// urgentMemory is how long room is kept free after the last urgent request.
+const urgentMemory = clock.Minute
+
 var order = []ticket.Priority{ticket.PriorityUrgent, ticket.PriorityNormal, ticket.PriorityDeferrable}
 
 // Limiter admits requests; it is not safe for concurrent use.
@@ -83,6 +97,11 @@
 	queued   int
 	turns    int
 	span     float64
+	// first is the mean time from the start to the first token.
+	first float64
+	now   clock.Millis
+	// lastUrgent is when the last urgent request came in.
+	lastUrgent clock.Millis
 }
 
 // New returns a Limiter.
@@ -93,6 +112,8 @@
 		running:  map[ticket.WorkspaceName]int{},
 		queues:   map[ticket.Priority][]Item{},
 		span:     initialSpan,
+
+		lastUrgent: -urgentMemory,
 	}
 	for _, opt := range opts {
 		opt(l)
@@ -130,12 +151,16 @@
 
 // Offer starts, queues or sheds a request.
 func (l *Limiter) Offer(item Item, now clock.Millis) Decision {
+	l.now = now
+	if item.Priority == ticket.PriorityUrgent {
+		l.lastUrgent = now
+	}
 	if l.startable(&item) && l.ahead(item.Priority) == 0 {
 		l.start(&item)
 		return Decision{Verdict: VerdictStart}
 	}
 	wait := l.wait(item.Priority)
-	if now+wait > item.Deadline {
+	if now+wait > l.latestStart(&item) {
 		return shed(item.ID, ReasonDeadline, wait)
 	}
 	decision := Decision{Verdict: VerdictQueue}
@@ -165,6 +190,16 @@
 	l.span += spanWeight * (float64(span) - l.span)
 }
 
+// Begun notes that a started request had its first token after the given span.
+func (l *Limiter) Begun(span clock.Millis) {
+	l.first += spanWeight * (float64(span) - l.first)
+}
+
+// latestStart is when a request must start to have its first token in time.
+func (l *Limiter) latestStart(item *Item) clock.Millis {
+	return item.Deadline - clock.Millis(firstMargin*l.first)
+}
+
 // Cancel removes a waiting request and reports whether it was waiting.
 func (l *Limiter) Cancel(id ItemID) bool {
 	for _, priority := range order {
@@ -181,8 +216,9 @@
 // Next starts as many waiting requests as there is room for, and sheds those
 // whose deadline has passed.
 func (l *Limiter) Next(now clock.Millis) (started []ItemID, dropped []Shed) {
+	l.now = now
 	dropped = l.expire(now)
-	for l.inFlight < l.limit {
+	for {
 		priority, at, ok := l.pick()
 		if !ok {
 			break
@@ -195,7 +231,16 @@
 }
 
 func (l *Limiter) startable(item *Item) bool {
-	return l.inFlight < l.limit && l.running[item.Workspace] < item.MaxInFlight
+	return l.room(item.Priority) && l.running[item.Workspace] < item.MaxInFlight
+}
+
+// room reports whether a request of the priority may be added.
+func (l *Limiter) room(priority ticket.Priority) bool {
+	if l.now-l.lastUrgent >= urgentMemory {
+		return l.inFlight < l.limit
+	}
+	ceiling := max(1, int(ceilings[priority]*float64(l.limit)))
+	return l.inFlight < ceiling
 }
 
 func (l *Limiter) start(item *Item) {
@@ -243,7 +288,7 @@
 	for _, priority := range order {
 		queue := l.queues[priority]
 		kept := slices.DeleteFunc(queue, func(item Item) bool {
-			if item.Deadline >= now {
+			if l.latestStart(&item) >= now {
 				return false
 			}
 			dropped = append(dropped, Shed{ID: item.ID, Reason: ReasonExpired, RetryAfter: l.wait(priority)})
@@ -277,6 +322,9 @@
 }
 
 func (l *Limiter) fairest(priority ticket.Priority) (int, bool) {
+	if !l.room(priority) {
+		return -1, false
+	}
 	best := -1
 	var bestUse float64
 	seen := map[ticket.WorkspaceName]bool{}
--- a/policy/routing/routing.go
+++ b/policy/routing/routing.go
@@ -26,6 +26,9 @@
 	Down bool
 	// Ejected is true while its error rate stands out.
 	Ejected bool
+	// Home is true if this instance is the one that mainly uses the endpoint, so
+	// that its own count is most of the load.
+	Home bool
 	// Slots is how many requests the endpoint runs at once.
 	Slots int
 	// Own is this instance's requests in flight.
@@ -42,6 +45,11 @@
 	return float64(e.Own+others) / float64(max(1, e.Slots))
 }
 
+// full reports whether another request would have to wait for a slot.
+func (e *Endpoint) full() bool {
+	return e.Load() >= 1
+}
+
 func (e *Endpoint) usable() Reason {
 	switch {
 	case e.Down:
@@ -93,19 +101,17 @@
 	g.zones[last].endpoints = append(g.zones[last].endpoints, e)
 }
 
-// Slots sums the slots of the endpoints that serve s and are usable.
-func (p *Pool) Slots(s Serves) int {
-	total := 0
-	if g := p.byServes[s]; g != nil {
+// SetHome divides the endpoints of a zone among the instances of the zone: this
+// instance, of the given rank, is at home at every count-th endpoint.
+func (p *Pool) SetHome(zone ticket.ZoneName, rank, count int) {
+	for serves, g := range p.byServes {
+		shift := int(xxhash.Sum64String(string(serves)) % uint64(max(1, count)))
 		for _, z := range g.zones {
-			for _, e := range z.endpoints {
-				if !e.Leaving && e.usable() == Permitted {
-					total += e.Slots
-				}
+			for i, e := range z.endpoints {
+				e.Home = z.zone == zone && (i+shift)%max(1, count) == rank
 			}
 		}
 	}
-	return total
 }
 
 // All calls yield for each endpoint that serves s.
@@ -146,20 +152,23 @@
 const (
 	ReasonLeastOfTwo Reason = "least-of-two"
 	ReasonPrefix     Reason = "prefix-affinity"
+	ReasonHome       Reason = "home"
 	ReasonOtherZone  Reason = "own-zone-full"
 	ReasonOnly       Reason = "only-candidate"
 )
 
 const (
-	// affinitySlack is how much more load the endpoint that probably caches
-	// the prefix may have than the best sampled one, in shares of its slots.
-	affinitySlack = 0.25
+	// affinityLoad is the load up to which the endpoint that probably caches the
+	// prefix is taken; every instance picks the same one, and at high load
+	// none sees in time what the others send there.
+	affinityLoad = 0.6
+	// spillSlack is how much less loaded another zone must be.
+	spillSlack = 0.25
 	// spillLoad is the load from which another zone is preferred.
 	spillLoad = 1.0
-	// samples is how many random endpoints are compared.
+	// samples is how many random endpoints are compared, draws how many at the most.
 	samples = 2
-	// draws bounds the random draws before every endpoint is looked at.
-	draws = 6
+	draws   = 6
 )
 
 // Choose returns the endpoint for a query. It prefers the instance's own zone,
@@ -179,7 +188,7 @@
 	if own.Endpoint == nil && other.Endpoint == nil {
 		return d.lastResort(g)
 	}
-	if own.Endpoint == nil || other.Endpoint != nil && other.Endpoint.Load()+affinitySlack < own.Endpoint.Load() {
+	if own.Endpoint == nil || other.Endpoint != nil && other.Endpoint.Load()+spillSlack < own.Endpoint.Load() {
 		other.Considered += own.Considered
 		other.Reason = ReasonOtherZone
 		return other
@@ -243,55 +252,71 @@
 	if sampled == nil {
 		return nil, d.refusal
 	}
-	if e := d.affine(endpoints, sampled); e != nil {
+	if e := d.affine(endpoints); e != nil {
 		return e, ReasonPrefix
 	}
+	if e := d.home(endpoints); e != nil {
+		return e, ReasonHome
+	}
 	if count == 1 {
 		return sampled, ReasonOnly
 	}
 	return sampled, ReasonLeastOfTwo
 }
 
-// sample returns the less loaded of up to two random permitted endpoints.
+// sample returns the less loaded of two random permitted endpoints, and draws
+// on while that one is full.
 func (d *decision) sample(endpoints []*Endpoint) (*Endpoint, int) {
+	if len(endpoints) <= draws {
+		return d.scan(endpoints)
+	}
 	var best *Endpoint
 	found := 0
-	if len(endpoints) > draws {
-		for draw := 0; draw < draws && found < samples; draw++ {
-			e := endpoints[d.random.IntN(len(endpoints))]
-			if e == best || !d.check(e, false) {
-				continue
-			}
-			found++
-			best = lessLoaded(best, e)
+	for range draws {
+		if found >= samples && !best.full() {
+			break
 		}
-		if found > 0 {
-			return best, found
+		e := endpoints[d.random.IntN(len(endpoints))]
+		if e == best || !d.check(e, false) {
+			continue
 		}
+		found++
+		best = lessLoaded(best, e)
 	}
-	return d.scan(endpoints)
+	if found == 0 {
+		return d.scan(endpoints)
+	}
+	return best, found
 }
 
-// scan samples two of all permitted endpoints.
+// scan samples among all permitted endpoints.
 func (d *decision) scan(endpoints []*Endpoint) (*Endpoint, int) {
-	var kept [samples]*Endpoint
-	found := 0
+	permitted := make([]*Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
-		if !d.check(e, false) {
-			continue
+		if d.check(e, false) {
+			permitted = append(permitted, e)
 		}
-		found++
-		if found <= samples {
-			kept[found-1] = e
-		} else if at := d.random.IntN(found); at < samples {
-			kept[at] = e
+	}
+	var best *Endpoint
+	d.random.Shuffle(len(permitted), func(i, j int) { permitted[i], permitted[j] = permitted[j], permitted[i] })
+	for i, e := range permitted {
+		if i >= samples && !best.full() {
+			break
 		}
+		best = lessLoaded(best, e)
 	}
-	best := kept[0]
-	if found > 1 {
-		best = lessLoaded(kept[0], kept[1])
+	return best, len(permitted)
+}
+
+// home returns the least loaded of the instance's home endpoints, unless all are full.
+func (d *decision) home(endpoints []*Endpoint) *Endpoint {
+	var best *Endpoint
+	for _, e := range endpoints {
+		if e.Home && !e.full() && (best == nil || e.Load() < best.Load()) && d.check(e, false) {
+			best = e
+		}
 	}
-	return best, found
+	return best
 }
 
 func lessLoaded(a, b *Endpoint) *Endpoint {
@@ -302,8 +327,8 @@
 }
 
 // affine returns the endpoint with the highest rendezvous weight for the prefix,
-// if its load is near that of the sampled one.
-func (d *decision) affine(endpoints []*Endpoint, sampled *Endpoint) *Endpoint {
+// unless its load is high.
+func (d *decision) affine(endpoints []*Endpoint) *Endpoint {
 	if d.query.Prefix == 0 {
 		return nil
 	}
@@ -314,7 +339,7 @@
 			best, bestWeight = e, weight
 		}
 	}
-	if best.Load() > sampled.Load()+affinitySlack || !d.check(best, false) {
+	if best.Load() > affinityLoad || !d.check(best, false) {
 		return nil
 	}
 	return best
