--- a/entry/instance/instance.go
+++ b/entry/instance/instance.go
@@ -48,6 +48,9 @@
 
 // Options change how parts are built; tests use them to put naive rules in place.
 type Options struct {
+	// Run names the run of the process; empty means a fresh name. Random choices
+	// follow from it.
+	Run    string
 	Claims []claims.Option
 	Ledger []ledger.Option
 	Gate   []gatekeeper.Option
@@ -81,7 +84,10 @@
 	if err != nil {
 		return nil, err
 	}
-	run := uuid.NewString()
+	run := o.Run
+	if run == "" {
+		run = uuid.NewString()
+	}
 	random := func() *rand.Rand { return newRandom(s.Instance, run) }
 	i := &Instance{clock: c, logger: logger}
 	i.Members = members.New(platform.InstanceID(s.Instance), seeds(s), out.Directory, c, logger)
--- a/entry/promises/harness_test.go
+++ b/entry/promises/harness_test.go
@@ -28,6 +28,7 @@
 	"foxtailbridge/link/peer/peerv1"
 	"foxtailbridge/link/platform"
 	"foxtailbridge/link/settings"
+	"foxtailbridge/link/telemetry"
 	"foxtailbridge/policy/claim"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/fault"
@@ -55,6 +56,8 @@
 	engines   map[string]*engine.Engine
 	services  map[string]*service.Service
 	options   instance.Options
+	// output takes the instances' logs.
+	output io.Writer
 
 	mu    sync.Mutex
 	nodes map[string]*node
@@ -90,6 +93,7 @@
 			nodes:    map[string]*node{},
 			cuts:     map[[2]string]bool{},
 			options:  options,
+			output:   io.Discard,
 		}
 		w.directory = listing.New(c, platform.Listing{})
 		Convey(name, t, func() {
@@ -177,7 +181,7 @@
 		Connect:   n.connect,
 		Dial:      n.dial,
 	}
-	i, err := instance.New(s, outside, w.clock, quiet(), tally.NoopScope, w.options)
+	i, err := instance.New(s, outside, w.clock, w.logger(name), tally.NoopScope, w.options)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -196,8 +200,11 @@
 	return n
 }
 
-func quiet() hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{Output: io.Discard, Level: hclog.Off})
+func (w *world) logger(name string) hclog.Logger {
+	if w.output == io.Discard {
+		return hclog.New(&hclog.LoggerOptions{Output: io.Discard, Level: hclog.Off})
+	}
+	return telemetry.NewLogger(name, "info", w.output)
 }
 
 // kill ends the instance as kill -9 does: nothing that it does reaches anybody any more.
--- a/policy/routing/routing.go
+++ b/policy/routing/routing.go
@@ -153,7 +153,7 @@
 	ReasonLeastOfTwo Reason = "least-of-two"
 	ReasonPrefix     Reason = "prefix-affinity"
 	ReasonHome       Reason = "home"
-	ReasonOtherZone  Reason = "own-zone-full"
+	ReasonOtherZone  Reason = "other-zone"
 	ReasonOnly       Reason = "only-candidate"
 )
 
