Warm up the cold endpoints of a zone that returns

Cause: the zone experiment never ended. Cold endpoints got work only when no warm one was left, so those of a zone that came back stayed cold for good while the other zone carried all. Now the holder of the zone's gate sends them some of its requests, within the permits; of urgent ones one in five.

--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
@@ -287,15 +288,17 @@
 	return p.begin(p.members[choice.Endpoint.ID], choice, digest), choice
 }
 
-// BeginCold chooses an endpoint in cold start, for which the caller must get a permit.
-func (p *Pool) BeginCold(q *routing.Query, digest quarantine.Digest) *Dispatch {
+// BeginCold chooses an endpoint in cold start, for which the caller must get a
+// permit; to warm one up it must be in the instance's own zone.
+func (p *Pool) BeginCold(q *routing.Query, digest quarantine.Digest, reason routing.Reason) *Dispatch {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *routing.Endpoint
 	looked := 0
 	p.index.All(q.Target.Serves(), func(e *routing.Endpoint) {
 		looked++
-		usable := !e.Down && !e.Warm && !contains(q.Tried, e.ID)
+		usable := !e.Down && !e.Warm && !slices.Contains(q.Tried, e.ID)
+		usable = usable && (reason != routing.ReasonWarmUp || e.Zone == p.zone)
 		if !usable || routing.PermitDispatch(q.View, q.Fresh, q.Workspace, q.Target, e) != routing.Permitted {
 			return
 		}
@@ -306,20 +309,11 @@
 	if best == nil {
 		return nil
 	}
-	d := p.begin(p.members[best.ID], routing.Choice{Endpoint: best, Reason: routing.ReasonCold, Considered: looked}, digest)
+	d := p.begin(p.members[best.ID], routing.Choice{Endpoint: best, Reason: reason, Considered: looked}, digest)
 	d.Cold = true
 	return d
 }
 
-func contains(ids []routing.EndpointID, id routing.EndpointID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 func (p *Pool) begin(m *member, choice routing.Choice, digest quarantine.Digest) *Dispatch {
 	d := &Dispatch{
 		Endpoint: m.client,
--- a/entry/router/attempts.go
+++ b/entry/router/attempts.go
@@ -193,22 +193,52 @@
 		return nil, nil, reason
 	}
 	q := a.query()
+	if d, permit := a.warmUp(ctx, q); d != nil {
+		return d, permit, routing.ReasonWarmUp
+	}
 	d, choice := r.parts.Pool.Begin(q, a.job.digest)
 	if d != nil {
 		a.logRoute(d)
 		return d, nil, choice.Reason
 	}
-	d = r.parts.Pool.BeginCold(q, a.job.digest)
+	d, permit := a.findCold(ctx, q, routing.ReasonCold)
 	if d == nil {
 		return nil, nil, choice.Reason
 	}
+	return d, permit, routing.ReasonCold
+}
+
+// urgentWarmUp is the share of urgent requests that may warm an endpoint up.
+const urgentWarmUp = 0.2
+
+// warmUp sends some requests to a cold endpoint of the own zone although others
+// are warm, since an endpoint without work would stay cold. Only the holder of
+// the gate does so; urgent requests seldom, since a cold endpoint is slow.
+func (a *attempts) warmUp(ctx context.Context, q *routing.Query) (*pool.Dispatch, *gatekeeper.Permit) {
+	r := a.job.router
+	if a.sent || !r.parts.Gate.Holding() {
+		return nil, nil
+	}
+	if a.job.workspace.Priority == ticket.PriorityUrgent && !r.chance(urgentWarmUp) {
+		return nil, nil
+	}
+	return a.findCold(ctx, q, routing.ReasonWarmUp)
+}
+
+// findCold looks among endpoints in cold start, for which the gate must give a permit.
+func (a *attempts) findCold(ctx context.Context, q *routing.Query, reason routing.Reason) (*pool.Dispatch, *gatekeeper.Permit) {
+	r := a.job.router
+	d := r.parts.Pool.BeginCold(q, a.job.digest, reason)
+	if d == nil {
+		return nil, nil
+	}
 	permit := r.parts.Gate.Acquire(ctx, d.Zone, d.ID, permitID(), d.Bears)
 	if permit == nil {
 		r.parts.Pool.End(d, errNoPermit)
-		return nil, nil, routing.ReasonCold
+		return nil, nil
 	}
 	a.logRoute(d)
-	return d, permit, routing.ReasonCold
+	return d, permit
 }
 
 var errNoPermit = fault.New("permit", endpoint.KindCanceled, "no permit for a cold endpoint")
--- a/entry/router/router.go
+++ b/entry/router/router.go
@@ -160,6 +160,13 @@
 	return r.active
 }
 
+// chance draws whether something of the given probability happens.
+func (r *Router) chance(probability float64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.Float64() < probability
+}
+
 func (r *Router) takeRetry() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/policy/routing/routing.go
+++ b/policy/routing/routing.go
@@ -155,6 +155,8 @@
 	ReasonHome       Reason = "home"
 	ReasonOtherZone  Reason = "other-zone"
 	ReasonOnly       Reason = "only-candidate"
+	// ReasonWarmUp means that an endpoint in cold start gets work although others are warm.
+	ReasonWarmUp Reason = "warm-up"
 )
 
 const (
