--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -32,8 +32,11 @@
 
 // Defaults of a Pool.
 const (
-	// DefaultReportPeriod is how often an endpoint's report is read.
-	DefaultReportPeriod = 250 * clock.Millis(1)
+	// How often an endpoint's report is read: those at which the instance is at
+	// home most often, those of other zones least.
+	homeReportPeriod  = 250 * clock.Millis(1)
+	zoneReportPeriod  = 500 * clock.Millis(1)
+	otherReportPeriod = clock.Second
 	// reportsMissed is after how many failed reports an endpoint counts as down.
 	reportsMissed = 2
 	// ejectAfter is after how many failures in a row an endpoint is ejected, and ejectFor how long.
@@ -117,24 +120,23 @@
 	go func() {
 		for {
 			p.pollMember(ctx, m)
-			if p.clock.Sleep(ctx, DefaultReportPeriod) != nil {
+			if p.clock.Sleep(ctx, p.reportPeriod(m)) != nil {
 				return
 			}
 		}
 	}()
 }
 
-// Poll reads every report once.
-func (p *Pool) Poll(ctx context.Context) {
+func (p *Pool) reportPeriod(m *member) clock.Millis {
 	p.mu.Lock()
-	members := make([]*member, 0, len(p.members))
-	for _, m := range p.members {
-		members = append(members, m)
-	}
-	p.mu.Unlock()
-	for _, m := range members {
-		p.pollMember(ctx, m)
+	defer p.mu.Unlock()
+	switch {
+	case m.view.Home:
+		return homeReportPeriod
+	case m.listing.Zone == p.zone:
+		return zoneReportPeriod
 	}
+	return otherReportPeriod
 }
 
 func (p *Pool) pollMember(ctx context.Context, m *member) {
