--- /dev/null
+++ b/entry/learning/rollouts.go
@@ -0,0 +1,112 @@
+package learning
+
+import (
+	"foxtailbridge/entry/fleet"
+	"foxtailbridge/policy/evidence"
+	"foxtailbridge/policy/rollout"
+	"foxtailbridge/policy/ticket"
+)
+
+// Judge stops every running roll-out whose new version turns out worse.
+func (l *Learner) Judge() {
+	view := l.View()
+	for name, r := range view.Rollouts {
+		stop := fleet.Stop{Rollout: name, Number: view.Number(ticket.ObjectRollout, string(name))}
+		if r.State != ticket.RolloutRunning || l.stopped(stop) {
+			continue
+		}
+		from, to := l.arms(stop)
+		if rollout.Judge(from, to, prior(view, r.From)) == rollout.VerdictStop {
+			l.logger.Warn("roll-out-stopped", "roll-out", name, "ticket", stop.Number, "version", r.To,
+				"good", to.Good, "bad", to.Bad, "exposed", to.Exposed, "old-good", from.Good, "old-bad", from.Bad)
+			l.AddStop(stop)
+			l.Publish(fleet.Item{Stop: &stop})
+			l.Urgent()
+		}
+	}
+}
+
+func prior(view *ticket.View, ref ticket.VersionRef) float64 {
+	if version := view.Versions[ref]; version != nil {
+		return version.Quality
+	}
+	return 1
+}
+
+func (l *Learner) arms(stop fleet.Stop) (from, to evidence.Tally) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	from = l.counters.Sum(evidence.RolloutSeries(stop.Rollout, stop.Number, evidence.ArmFrom))
+	to = l.counters.Sum(evidence.RolloutSeries(stop.Rollout, stop.Number, evidence.ArmTo))
+	return from, to
+}
+
+// AddStop takes a stop from the log or from another instance.
+func (l *Learner) AddStop(stop fleet.Stop) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stops[stop] = true
+}
+
+func (l *Learner) stopped(stop fleet.Stop) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stops[stop]
+}
+
+// Stops returns all stops known.
+func (l *Learner) Stops() []fleet.Stop {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]fleet.Stop, 0, len(l.stops))
+	for stop := range l.stops {
+		list = append(list, stop)
+	}
+	return list
+}
+
+// Stopped reports whether a version may get no new work because its roll-out was stopped.
+func (l *Learner) Stopped(version ticket.VersionRef) bool {
+	view := l.View()
+	for name, r := range view.Rollouts {
+		if r.To != version || r.State == ticket.RolloutDone {
+			continue
+		}
+		stop := fleet.Stop{Rollout: name, Number: view.Number(ticket.ObjectRollout, string(name))}
+		if r.State == ticket.RolloutStopped || l.stopped(stop) {
+			return true
+		}
+	}
+	return false
+}
+
+// Assign applies the roll-outs of a chosen version for a session or request key.
+func (l *Learner) Assign(version ticket.VersionRef, key string, allowed func(ticket.VersionRef) bool) (ticket.VersionRef, rollout.Assignment) {
+	view := l.View()
+	for name, r := range view.Rollouts {
+		if r.From != version || !allowed(r.To) || !view.VersionActive(r.To) || l.Stopped(r.To) {
+			continue
+		}
+		series := evidence.RolloutSeries(name, view.Number(ticket.ObjectRollout, string(name)), evidence.ArmTo)
+		l.mu.Lock()
+		unrated, sum := l.outstanding(series).Count(l.clock.Mono()), l.counters.Sum(series)
+		l.mu.Unlock()
+		assignment := rollout.Assign(r, key, unrated, sum, l.Position())
+		if assignment == rollout.AssignTo {
+			return r.To, assignment
+		}
+		return version, assignment
+	}
+	return version, rollout.AssignFrom
+}
+
+// RolledOut reports whether a version is reached through a roll-out only, and
+// so is no choice of its own.
+func (l *Learner) RolledOut(version ticket.VersionRef) bool {
+	for _, r := range l.View().Rollouts {
+		if r.To == version && r.State != ticket.RolloutDone {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/entry/pool/dispatch.go
@@ -0,0 +1,138 @@
+package pool
+
+import (
+	"slices"
+
+	"foxtailbridge/link/endpoint"
+	"foxtailbridge/policy/fault"
+	"foxtailbridge/policy/gate"
+	"foxtailbridge/policy/quarantine"
+	"foxtailbridge/policy/routing"
+	"foxtailbridge/policy/ticket"
+)
+
+// Dispatch is one attempt at one endpoint.
+type Dispatch struct {
+	// Endpoint is the client of the chosen endpoint.
+	Endpoint *endpoint.Endpoint
+	ID       routing.EndpointID
+	Zone     ticket.ZoneName
+	Choice   routing.Choice
+	// Cold is true if the dispatch needs a permit of the gate.
+	Cold  bool
+	Bears int
+
+	member *member
+	digest quarantine.Digest
+	boot   gate.BootID
+	alone  bool
+}
+
+// Begin chooses an endpoint and counts the attempt in flight. It checks the
+// configuration at this moment, so call it right before the dispatch.
+func (p *Pool) Begin(q *routing.Query, digest quarantine.Digest) (*Dispatch, routing.Choice) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	choice := p.index.Choose(q, p.random)
+	if choice.Endpoint == nil {
+		return nil, choice
+	}
+	return p.begin(p.members[choice.Endpoint.ID], choice, digest), choice
+}
+
+// BeginCold chooses an endpoint in cold start, for which the caller must get a
+// permit; to warm one up it must be in the instance's own zone.
+func (p *Pool) BeginCold(q *routing.Query, digest quarantine.Digest, reason routing.Reason) *Dispatch {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *routing.Endpoint
+	looked := 0
+	p.index.All(q.Target.Serves(), func(e *routing.Endpoint) {
+		looked++
+		usable := !e.Down && !e.Warm && !slices.Contains(q.Tried, e.ID)
+		usable = usable && (reason != routing.ReasonWarmUp || e.Zone == p.zone)
+		if !usable || routing.PermitDispatch(q.View, q.Fresh, q.Workspace, q.Target, e) != routing.Permitted {
+			return
+		}
+		if best == nil || e.Zone == q.Fresh.Zone && best.Zone != q.Fresh.Zone || e.Zone == best.Zone && e.Load() < best.Load() {
+			best = e
+		}
+	})
+	if best == nil {
+		return nil
+	}
+	d := p.begin(p.members[best.ID], routing.Choice{Endpoint: best, Reason: reason, Considered: looked}, digest)
+	d.Cold = true
+	return d
+}
+
+func (p *Pool) begin(m *member, choice routing.Choice, digest quarantine.Digest) *Dispatch {
+	d := &Dispatch{
+		Endpoint: m.client,
+		ID:       m.view.ID,
+		Zone:     m.view.Zone,
+		Choice:   choice,
+		Bears:    max(1, m.load.Bears),
+		member:   m,
+		digest:   digest,
+		boot:     m.warmth.Boot(),
+		alone:    m.view.Load() == 0,
+	}
+	m.inFlight[d] = true
+	m.view.Own++
+	for other := range m.inFlight {
+		other.alone = other.alone && len(m.inFlight) == 1
+	}
+	return d
+}
+
+// End counts the attempt out and draws conclusions from its result.
+func (p *Pool) End(d *Dispatch, err error) {
+	kind := fault.KindOf[endpoint.Kind](err)
+	p.mu.Lock()
+	m := d.member
+	delete(m.inFlight, d)
+	m.view.Own--
+	p.judgeFailure(m, kind)
+	p.refresh(m)
+	p.mu.Unlock()
+	if kind == endpoint.KindBroken {
+		crash := quarantine.Crash(string(d.ID) + "/" + string(d.boot))
+		p.Suspect(quarantine.Suspicion{Digest: d.digest, Crash: crash, Alone: d.alone})
+	}
+}
+
+func (p *Pool) judgeFailure(m *member, kind endpoint.Kind) {
+	switch kind {
+	case "":
+		m.failures = 0
+		return
+	case endpoint.KindCanceled, endpoint.KindRefused:
+		return
+	case endpoint.KindBroken, endpoint.KindNotSent:
+		if m.warmth.Break() {
+			p.logger.Info("endpoint-warmth", "endpoint", m.listing.ID, "phase", endpoint.PhaseCold, "cause", kind)
+		}
+	}
+	m.failures++
+	if m.failures >= ejectAfter && p.mayEject(m) {
+		m.ejected = p.clock.Mono() + ejectFor
+		m.failures = 0
+		p.logger.Warn("endpoint-ejected", "endpoint", m.listing.ID, "for-ms", ejectFor)
+	}
+}
+
+func (p *Pool) mayEject(m *member) bool {
+	total, ejected := 0, 1
+	now := p.clock.Mono()
+	for _, other := range p.members {
+		if other.view.Serves != m.view.Serves {
+			continue
+		}
+		total++
+		if other.ejected > now {
+			ejected++
+		}
+	}
+	return float64(ejected) <= ejectShare*float64(total)
+}
--- /dev/null
+++ b/entry/pool/status.go
@@ -0,0 +1,80 @@
+package pool
+
+import (
+	"foxtailbridge/link/endpoint"
+	"foxtailbridge/link/platform"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/routing"
+	"foxtailbridge/policy/ticket"
+)
+
+// Slots sums the slots of the engines that are up.
+func (p *Pool) Slots() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	total := 0
+	for _, m := range p.members {
+		if m.listing.Kind == platform.EndpointEngine && !m.view.Down && !m.view.Leaving {
+			total += m.view.Slots
+		}
+	}
+	return total
+}
+
+// Serving reports whether an endpoint that is up serves s.
+func (p *Pool) Serving(s routing.Serves) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := false
+	p.index.All(s, func(e *routing.Endpoint) { found = found || !e.Down && !e.Leaving })
+	return found
+}
+
+// Status describes an endpoint for operators.
+type Status struct {
+	Listing   platform.EndpointListing
+	Phase     endpoint.Phase
+	Down      bool
+	Ejected   bool
+	InFlight  int
+	ReportAge clock.Millis
+}
+
+// Statuses describes all endpoints.
+func (p *Pool) Statuses() []Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Mono()
+	list := make([]Status, 0, len(p.members))
+	for _, m := range p.members {
+		list = append(list, Status{
+			Listing:   m.listing,
+			Phase:     m.load.Phase,
+			Down:      m.view.Down,
+			Ejected:   m.ejected > now,
+			InFlight:  m.view.Own,
+			ReportAge: now - m.reported,
+		})
+	}
+	return list
+}
+
+// ZoneEngines returns the reports and clients of a zone's engines, for orders.
+func (p *Pool) ZoneEngines(zone ticket.ZoneName) []Engine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var engines []Engine
+	for _, m := range p.members {
+		if m.listing.Zone == zone && m.listing.Kind == platform.EndpointEngine && !m.view.Down {
+			engines = append(engines, Engine{Listing: m.listing, Load: m.load, Client: m.client})
+		}
+	}
+	return engines
+}
+
+// Engine is a model engine with its last report.
+type Engine struct {
+	Listing platform.EndpointListing
+	Load    endpoint.Load
+	Client  *endpoint.Endpoint
+}
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -223,6 +223,7 @@
 		if !ok {
 			break
 		}
+		l.turns++
 		item := l.remove(priority, at)
 		l.start(&item)
 		started = append(started, item.ID)
@@ -304,8 +305,7 @@
 // or on a reserved turn of the lowest, the oldest of the workspace that has
 // least in flight for its share.
 func (l *Limiter) pick() (ticket.Priority, int, bool) {
-	l.turns++
-	if l.turns%reservedTurn == 0 {
+	if l.turns%reservedTurn == reservedTurn-1 {
 		for i := len(order) - 1; i >= 0; i-- {
 			if at, ok := l.fairest(order[i]); ok {
 				return order[i], at, true
