Bring the ends of claims into the log before a planned stop ends

Cause: a stop waited for bills and not for the ends of claims, so that during a log outage a retry of an answered refund got unknown from then on. Shown failing first; now the stop waits up to 5 s for them.

--- a/entry/claims/claims.go
+++ b/entry/claims/claims.go
@@ -59,6 +59,9 @@
 	// tests put a naive rule in its place.
 	confirm func(ctx context.Context, p *partition, record claim.Record, appended <-chan error) (claim.Holding, error)
 
+	// ending counts the ends of requests that are on their way to the log.
+	ending sync.WaitGroup
+
 	mu   sync.Mutex
 	dead map[claim.Nonce]bool
 }
@@ -298,7 +301,20 @@
 	if err != nil {
 		return
 	}
-	go c.appendDone(p, data)
+	c.ending.Go(func() { c.appendDone(p, data) })
+}
+
+// Flush waits until the ends of all requests are in the log, or ctx ends.
+func (c *Claimer) Flush(ctx context.Context) {
+	flushed := make(chan struct{})
+	go func() {
+		c.ending.Wait()
+		close(flushed)
+	}()
+	select {
+	case <-flushed:
+	case <-ctx.Done():
+	}
 }
 
 // appendDone retries for as long as the claim is remembered.
--- a/entry/instance/instance.go
+++ b/entry/instance/instance.go
@@ -197,15 +197,23 @@
 		}
 		_ = i.clock.Sleep(ctx, settlePoll)
 	}
+	flushing, cancel := context.WithTimeout(ctx, flushSpan.Duration())
+	defer cancel()
+	i.Claims.Flush(flushing)
 	select {
 	case <-i.Gate.Release():
-	case <-ctx.Done():
+	case <-flushing.Done():
 	}
 	i.logger.Info("shutdown-ended", "whole", whole, "unsettled", i.Ledger.Unsettled())
 	return whole
 }
 
-const settlePoll = 50 * clock.Millis(1)
+const (
+	settlePoll = 50 * clock.Millis(1)
+	// flushSpan bounds the wait for what only spares others a question: the ends
+	// of claims and the release of the gate.
+	flushSpan = 5 * clock.Second
+)
 
 // PeerHandler serves the other instances.
 func (i *Instance) PeerHandler(secret string) http.Handler {
--- a/entry/promises/answer_test.go
+++ b/entry/promises/answer_test.go
@@ -17,6 +17,7 @@
 	"foxtailbridge/link/endpoint"
 	"foxtailbridge/policy/claim"
 	"foxtailbridge/policy/ticket"
+	"foxtailbridge/standin/applog"
 	"foxtailbridge/standin/engine"
 )
 
@@ -154,6 +155,24 @@
 		So(refused.code, ShouldEqual, "draining")
 		So(refused.outcome, ShouldEqual, claim.StateNotRun)
 	})
+	inWorld(t, "a refund's answer outlives the planned stop of its instance", instance.Options{}, func(w *world) {
+		a, b := w.small()
+		key := w.key(1)
+		a.Router.Reached = func(step router.Step, _ claim.RequestID) {
+			if step == router.StepAnswered {
+				w.log.SetFaults(applog.Faults{Outage: true})
+			}
+		}
+		first := a.refund(key, `{"order":1}`)
+		stopped := make(chan bool, 1)
+		go func() { stopped <- a.Shutdown(a.ctx) }()
+		w.settle(3 * time.Second)
+		w.log.SetFaults(applog.Faults{})
+		So(<-stopped, ShouldBeTrue)
+		a.kill()
+		w.settle(time.Second)
+		So(b.refund(key, `{"order":1}`).body, ShouldEqual, first.body)
+	})
 	inWorld(t, "a shutdown during an outage leaves its bills with another instance", instance.Options{}, func(w *world) {
 		a, _ := w.small()
 		w.cut("node-a", platformSide)
