Keep every zone confirmed while the log cannot be read

Cause, found by a test with the users' four zones: an instance cut from the platform exchanged state with one random instance each half second, so that 51 of 400 looks found a zone unconfirmed, and work for it was refused now and then. Ruled out: the cut itself (the own zone and the others' instances were reached).

Now it asks one instance of each other zone at a time: 0 of 400.

--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -101,7 +101,11 @@
 // with several at once after an urgent change.
 func (m *Mesh) Run(ctx context.Context) {
 	for {
-		m.Round(ctx, 1)
+		if m.config.Fresh().LogFresh {
+			m.Round(ctx, 1)
+		} else {
+			m.ConfirmZones(ctx)
+		}
 		tick, cancel := context.WithTimeout(ctx, DefaultPeriod.Duration())
 		select {
 		case <-tick.Done():
@@ -134,6 +138,21 @@
 	done.Wait()
 }
 
+// ConfirmZones exchanges state with one random instance of each other zone. An
+// instance that cannot read the log needs that to send work to those zones.
+func (m *Mesh) ConfirmZones(ctx context.Context) {
+	asked := map[ticket.ZoneName]bool{}
+	var done sync.WaitGroup
+	for _, other := range m.shuffled() {
+		if asked[other.Zone] {
+			continue
+		}
+		asked[other.Zone] = true
+		done.Go(func() { m.Exchange(ctx, other) })
+	}
+	done.Wait()
+}
+
 func (m *Mesh) shuffled() []platform.InstanceListing {
 	others := m.members.Others()
 	m.mu.Lock()
--- a/entry/promises/island_test.go
+++ b/entry/promises/island_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"foxtailbridge/entry/instance"
 	"foxtailbridge/policy/claim"
+	"foxtailbridge/policy/ticket"
 	"foxtailbridge/standin/applog"
 	"foxtailbridge/standin/engine"
 	"foxtailbridge/standin/listing"
@@ -177,3 +179,35 @@
 		So(len(w.services["stock-a"].Runs()), ShouldEqual, 1)
 	})
 }
+
+func TestFourZonesStayReachable(t *testing.T) {
+	inWorld(t, "an instance cut from the platform goes on reaching every zone of four", instance.Options{}, func(w *world) {
+		zones := []string{"a", "b", "c", "d"}
+		versions := []ticket.VersionRef{"small@1", "large@1", "small@2", "small@3"}
+		for i, zone := range zones {
+			w.engine("engine-"+zone, zone, engine.Config{Version: versions[i], FirstToken: 20, Token: 5})
+			w.node("node-"+zone+"1", zone)
+			w.node("node-"+zone+"2", zone)
+		}
+		w.publish(strings.ReplaceAll(baseTicket, "small@2]", "small@2, small@3]"))
+		w.publish("ticket: 2\nauthor: test\nversions: [{ref: small@3, state: active, quality: 0.9}]")
+		w.settle(3 * time.Second)
+		w.cutPlatform("a")
+		w.settle(10 * time.Second)
+		a := w.nodes["node-a1"]
+		stale := 0
+		for range 100 {
+			fresh := a.Config.Fresh()
+			for _, zone := range zones {
+				if !fresh.Confirms(ticket.ZoneName(zone)) {
+					stale++
+				}
+			}
+			w.settle(300 * time.Millisecond)
+		}
+		So(stale, ShouldEqual, 0)
+		for _, version := range versions {
+			So(a.chat(string(version), "hello").problem(), ShouldEqual, "")
+		}
+	})
+}
