--- a/policy/ticket/state_test.go
+++ b/policy/ticket/state_test.go
@@ -112,3 +112,24 @@
 		So(s.View().Objects(), ShouldEqual, 0)
 	})
 }
+
+// BenchmarkReplay measures how a fresh instance's start grows with the records it reads.
+func BenchmarkReplay(b *testing.B) {
+	for _, count := range []int{100, 1000, 5000} {
+		b.Run(fmt.Sprintf("tickets-%d", count), func(b *testing.B) {
+			records := make([][]byte, count)
+			for i := range records {
+				ticket := &Ticket{Number: Number(i + 1), Author: "op", Zones: []Zone{{Name: ZoneName(fmt.Sprint("z", i%200)), State: ZoneIn}}}
+				records[i], _ = json.Marshal(Record{Ticket: ticket})
+			}
+			for b.Loop() {
+				s := NewState()
+				for i, data := range records {
+					if _, err := s.ApplyRecord(Offset(i), data); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+		})
+	}
+}
