Mend two races of the test harness that -race found

The stand-in list gave its own slices to callers that sort what they get, and a test added endpoints while instances ran.

--- a/entry/promises/island_test.go
+++ b/entry/promises/island_test.go
@@ -186,6 +186,8 @@
 		versions := []ticket.VersionRef{"small@1", "large@1", "small@2", "small@3"}
 		for i, zone := range zones {
 			w.engine("engine-"+zone, zone, engine.Config{Version: versions[i], FirstToken: 20, Token: 5})
+		}
+		for _, zone := range zones {
 			w.node("node-"+zone+"1", zone)
 			w.node("node-"+zone+"2", zone)
 		}
--- a/standin/listing/listing.go
+++ b/standin/listing/listing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 
 	"foxtailbridge/link/platform"
@@ -71,7 +72,11 @@
 			shown = v.listing
 		}
 	}
-	return &shown, nil
+	// Callers may change what they get, as with an answer over the network.
+	return &platform.Listing{
+		Instances: slices.Clone(shown.Instances),
+		Endpoints: slices.Clone(shown.Endpoints),
+	}, nil
 }
 
 // Handler serves the directory over HTTP.
