Let a failed cheap version give way, and never call a request not-run that ran

Cause: outcomes were kept per version, so that a request whose cheap answer had been rated bad, and for which the next version found no endpoint, was refused as not-run. Found by reading; shown failing first. What ran is now kept for the whole request. A cheap version that fails gives way to the next like one that is rated bad; before, the caller got its 502.

--- a/entry/promises/billing_test.go
+++ b/entry/promises/billing_test.go
@@ -13,6 +13,7 @@
 	"foxtailbridge/policy/billing"
 	"foxtailbridge/policy/claim"
 	"foxtailbridge/standin/applog"
+	"foxtailbridge/standin/engine"
 )
 
 func (w *world) fold() *billing.Fold {
@@ -196,3 +197,33 @@
 		So(bills[0].Cost, ShouldBeGreaterThan, billing.Price(1000, bills[0].Tokens/2))
 	})
 }
+
+func TestEscalationAfterAFailure(t *testing.T) {
+	inWorld(t, "a cheap version that cannot answer gives way to the next", instance.Options{}, func(w *world) {
+		w.escalating()
+		w.engines["engine-small"].SetFaults(engine.Faults{TruncateAt: 1000, TruncateAfter: 2})
+		got := w.nodes["node-a"].chat("auto", "please check", "Request-Class", "triage")
+		So(got.problem(), ShouldEqual, "")
+		So(got.header.Get("Model-Version"), ShouldEqual, "large@1")
+		w.settle(10 * time.Second)
+		bills := w.fold().Bills()
+		So(len(bills), ShouldEqual, 1)
+		So(bills[0].Attempts, ShouldEqual, 1)
+	})
+}
+
+func TestRefusalAfterTheFirstStepRan(t *testing.T) {
+	inWorld(t, "a request whose cheap answer was rated bad is not refused as not-run", instance.Options{}, func(w *world) {
+		w.escalating()
+		w.engines["engine-large"].SetFaults(engine.Faults{RefuseNext: 1 << 30})
+		got := w.nodes["node-a"].chat("auto", "please check", "Request-Class", "triage")
+		So(got.outcome, ShouldEqual, claim.StateUnknown)
+	})
+	inWorld(t, "nor one whose cheap answer failed", instance.Options{}, func(w *world) {
+		w.escalating()
+		w.engines["engine-small"].SetFaults(engine.Faults{TruncateAt: 1000, TruncateAfter: 2})
+		w.engines["engine-large"].SetFaults(engine.Faults{RefuseNext: 1 << 30})
+		got := w.nodes["node-a"].chat("auto", "please check", "Request-Class", "triage")
+		So(got.outcome, ShouldEqual, claim.StateUnknown)
+	})
+}
--- a/entry/router/attempts.go
+++ b/entry/router/attempts.go
@@ -88,7 +88,10 @@
 	kind := fault.KindOf[endpoint.Kind](err)
 	r := a.job.router
 	r.decide("attempt-failed", "request", a.job.ID, "endpoint", d.ID, "kind", kind, "tokens", a.received, "error", err)
-	a.sent = a.sent || mayHaveRun(err)
+	if mayHaveRun(err) {
+		a.sent = true
+		a.job.ran = true
+	}
 	if kind != endpoint.KindIncomplete {
 		// An engine that only cut the stream can resume it.
 		a.tried = append(a.tried, d.ID)
@@ -114,7 +117,7 @@
 
 // outcome is what a refusal at this point may say.
 func (a *attempts) outcome() claim.State {
-	if a.sent || a.received > 0 {
+	if a.job.ran || a.received > 0 {
 		return claim.StateUnknown
 	}
 	return refusalOutcome(a.job.Minted)
--- a/entry/router/chat.go
+++ b/entry/router/chat.go
@@ -80,6 +80,8 @@
 	tokens    billing.Tokens
 	streaming bool
 	place     *place
+	// ran is true once any attempt, also of an earlier step, may have run.
+	ran bool
 }
 
 // Chat serves a chat completion; it returns the whole answer once its bill is
@@ -243,15 +245,19 @@
 	return nil, problem(j.ID, http.StatusNotFound, caller.CodeUnknownModel, refusalOutcome(j.Minted), "model "+j.Body.Model+" is not known to this workspace", 0)
 }
 
-// run tries the planned versions in order; an answer that is rated bad in time
-// gives way to the next version's.
+// run tries the planned versions in order; an answer that fails, or is rated bad
+// in time, gives way to the next version's.
 func (j *chatJob) run(ctx context.Context, plan []ticket.VersionRef) (*ChatAnswer, *caller.Problem) {
 	for step, version := range plan {
 		last := step == len(plan)-1
 		j.streaming = j.Body.Stream && last
 		a := &attempts{job: j, version: version}
 		if p := a.run(ctx); p != nil {
-			return nil, j.failed(ctx, a, p)
+			p = j.failed(ctx, a, p)
+			if last || ctx.Err() != nil || p.Code == caller.CodeQuarantined {
+				return nil, p
+			}
+			continue
 		}
 		j.charge(a)
 		j.router.Reached(StepAnswered, j.ID)
@@ -266,6 +272,7 @@
 
 func (j *chatJob) charge(a *attempts) {
 	tokens := billing.Tokens(a.end.PromptTokens + a.end.CompletionTokens)
+	j.ran = true
 	j.tokens += tokens
 	j.attempts++
 	if version := j.router.parts.Config.View().Versions[a.version]; version != nil {
