--- a/entry/mesh/mesh.go
+++ b/entry/mesh/mesh.go
@@ -144,7 +144,8 @@
 	asked := map[ticket.ZoneName]bool{}
 	var done sync.WaitGroup
 	for _, other := range m.shuffled() {
-		if asked[other.Zone] {
+		// The zone of an instance that only the settings name is not known.
+		if other.Zone != "" && asked[other.Zone] {
 			continue
 		}
 		asked[other.Zone] = true
