Keep secrets out of settings errors, and the profile behind the operator key

Cause: an error in a settings file printed the lines around it, and with them keys; found by trying the command, shown failing first. The CPU profile on the administration address was open to anybody who reached it.

--- a/entry/adminrpc/adminrpc.go
+++ b/entry/adminrpc/adminrpc.go
@@ -77,6 +77,17 @@
 	})
 }
 
+// Guard serves a page to operators with a key only.
+func (s *Server) Guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if _, ok := s.keys.Name(r.Header.Get("Authorization")); !ok {
+			http.Error(w, errKey.Error(), http.StatusUnauthorized)
+			return
+		}
+		next(w, r)
+	}
+}
+
 // Publish appends a ticket to the log and reports what it set.
 func (s *Server) Publish(ctx context.Context, r *connect.Request[adminv1.PublishRequest]) (*connect.Response[adminv1.PublishResponse], error) {
 	t, err := ticket.Parse(r.Msg.Ticket)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -43,7 +43,7 @@
 	}
 	admin := http.NewServeMux()
 	admin.Handle("GET /metrics", metricsHandler)
-	admin.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	admin.HandleFunc("GET /debug/pprof/profile", i.Admin.Guard(pprof.Profile))
 	admin.Handle("/", i.Admin.Handler())
 	servers, err := listen(logger, map[string]http.Handler{
 		s.Listen.Caller: i.Callers.Handler(),
--- a/link/settings/settings.go
+++ b/link/settings/settings.go
@@ -111,7 +111,8 @@
 	}
 	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.DisallowUnknownField())
 	if err := decoder.Decode(e); err != nil {
-		return nil, fault.New("parse", KindSyntax, "%s: %s", name, yaml.FormatError(err, false, true))
+		// Without the source around the error, which may hold secrets.
+		return nil, fault.New("parse", KindSyntax, "%s: %s", name, yaml.FormatError(err, false, false))
 	}
 	c := &checker{name: name, data: data}
 	c.entry(e)
--- a/link/settings/settings_test.go
+++ b/link/settings/settings_test.go
@@ -40,6 +40,7 @@
 		{"host name instead of an IP address", "caller: 127.0.0.1:8101", "caller: localhost:8101", []string{"f.yaml:4", "listen.caller"}},
 		{"port 0", "peer: 127.0.0.1:8201", "peer: 127.0.0.1:0", []string{"f.yaml:5", "listen.peer"}},
 		{"bad URL", "log: http://127.0.0.1:7001", "log: 127.0.0.1", []string{"f.yaml:8", "platform.log"}},
+		{"unknown key beside secrets", "  callers:", "  caller:", []string{"f.yaml", "[13:", "caller"}},
 		{"short secret", "{id: k1, secret: 0123456789abcdef}", "{id: k1, secret: x}", []string{"f.yaml:16", "keys.sessions[0].secret"}},
 		{"no partitions", "zone: a", "zone: a\nclaim-partitions: 0", []string{"f.yaml:3", "claim-partitions"}},
 		{"no drain", "zone: a", "zone: a\ndrain-ms: -1", []string{"f.yaml:3", "drain-ms"}},
@@ -57,7 +58,7 @@
 			for _, part := range table.want {
 				So(err.Error(), ShouldContainSubstring, part)
 			}
-			So(err.Error(), ShouldNotContainSubstring, "0123456789abcdef\n")
+			So(err.Error(), ShouldNotContainSubstring, "0123456789abcdef")
 		})
 	}
 }
