Tidy what a second reading of the whole change found

- The choice among cold endpoints stood in the pool, beside its twin in policy/routing; it is routing.Pool.ChooseCold now.
- Ledger: whether others were asked to hold a bill is a field of the bill's entry instead of a second map by id; the entry's channel is closed by one place, so its sync.Once went.
- Members: one check of who is a live other instance instead of three.
- Dead: Dispatch.Cold, View.Newest, Permits.Outstanding, two one-line wrappers.
- Names: errNotDispatched for what was called errNoPermit and used for more.

--- a/entry/ledger/ledger.go
+++ b/entry/ledger/ledger.go
@@ -71,7 +71,6 @@
 	unsettled map[claim.RequestID]*entry
 	held      map[Owner]*holding
 	heldCount int
-	toldHeld  map[claim.RequestID]bool
 	// stuck holds the bills that could not be made safe in time.
 	stuck map[claim.RequestID]*entry
 }
@@ -80,12 +79,10 @@
 type entry struct {
 	bill billing.Bill
 	data json.RawMessage
+	// safe is closed once the bill is in the log.
 	safe chan struct{}
-	once sync.Once
-}
-
-func (e *entry) markSafe() {
-	e.once.Do(func() { close(e.safe) })
+	// handedOver is true once others were asked to hold the bill.
+	handedOver bool
 }
 
 // Owner names the run of an instance that owns bills held elsewhere.
@@ -117,7 +114,6 @@
 		batcher:   platform.NewBatcher(log, platform.StreamBills, c),
 		unsettled: map[claim.RequestID]*entry{},
 		held:      map[Owner]*holding{},
-		toldHeld:  map[claim.RequestID]bool{},
 		stuck:     map[claim.RequestID]*entry{},
 	}
 	l.release = l.awaitSafe
@@ -209,11 +205,10 @@
 	l.failing.Store(false)
 	l.mu.Lock()
 	delete(l.unsettled, e.bill.ID)
-	told := l.toldHeld[e.bill.ID]
-	delete(l.toldHeld, e.bill.ID)
+	told := e.handedOver
 	delete(l.stuck, e.bill.ID)
 	l.mu.Unlock()
-	e.markSafe()
+	close(e.safe)
 	if told {
 		l.Settled(context.Background(), []claim.RequestID{e.bill.ID})
 	}
@@ -259,7 +254,7 @@
 
 func (l *Ledger) handOver(ctx context.Context, e *entry) bool {
 	l.mu.Lock()
-	l.toldHeld[e.bill.ID] = true
+	e.handedOver = true
 	l.mu.Unlock()
 	if !l.Hold(ctx, []billing.Bill{e.bill}) {
 		return false
@@ -276,9 +271,9 @@
 func (l *Ledger) HandOverAll(ctx context.Context) bool {
 	l.mu.Lock()
 	bills := make([]billing.Bill, 0, len(l.unsettled))
-	for id, e := range l.unsettled {
+	for _, e := range l.unsettled {
 		bills = append(bills, e.bill)
-		l.toldHeld[id] = true
+		e.handedOver = true
 	}
 	l.mu.Unlock()
 	return len(bills) == 0 || l.Hold(ctx, bills)
@@ -359,10 +354,9 @@
 		if err != nil {
 			continue
 		}
-		e := &entry{bill: bill, data: data, safe: make(chan struct{})}
+		e := &entry{bill: bill, data: data, safe: make(chan struct{}), handedOver: true}
 		l.mu.Lock()
 		l.unsettled[bill.ID] = e
-		l.toldHeld[bill.ID] = true
 		l.mu.Unlock()
 		go l.append(e)
 		l.logger.Info("held-bill-adopted", "request", bill.ID, "owner", bill.Instance)
--- a/entry/members/members.go
+++ b/entry/members/members.go
@@ -78,13 +78,17 @@
 	}
 }
 
+func (m *Members) isLiveOther(l *platform.InstanceListing) bool {
+	return l.ID != m.self && l.Presence != platform.PresenceLeaving
+}
+
 // Others returns the live instances beside this one.
 func (m *Members) Others() []platform.InstanceListing {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var others []platform.InstanceListing
 	for _, instance := range m.listing.Instances {
-		if instance.ID != m.self && instance.Presence != platform.PresenceLeaving {
+		if m.isLiveOther(&instance) {
 			others = append(others, instance)
 		}
 	}
@@ -118,7 +122,7 @@
 	defer m.mu.Unlock()
 	position := rollout.Position{Instances: 1}
 	for _, instance := range m.listing.Instances {
-		if instance.ID == m.self || instance.Presence == platform.PresenceLeaving || !counts(instance) {
+		if !m.isLiveOther(&instance) || !counts(instance) {
 			continue
 		}
 		position.Instances++
@@ -137,8 +141,7 @@
 	rank := 0
 	own := weight(m.self)
 	for _, instance := range m.listing.Instances {
-		live := instance.Zone == zone && instance.ID != m.self && instance.Presence != platform.PresenceLeaving
-		if live && weight(instance.ID) > own {
+		if instance.Zone == zone && m.isLiveOther(&instance) && weight(instance.ID) > own {
 			rank++
 		}
 	}
--- a/entry/pool/dispatch.go
+++ b/entry/pool/dispatch.go
@@ -1,8 +1,6 @@
 package pool
 
 import (
-	"slices"
-
 	"foxtailbridge/link/endpoint"
 	"foxtailbridge/policy/fault"
 	"foxtailbridge/policy/gate"
@@ -18,8 +16,7 @@
 	ID       routing.EndpointID
 	Zone     ticket.ZoneName
 	Choice   routing.Choice
-	// Cold is true if the dispatch needs a permit of the gate.
-	Cold  bool
+	// Bears is how many requests the endpoint bears in cold start.
 	Bears int
 
 	member *member
@@ -41,29 +38,15 @@
 }
 
 // BeginCold chooses an endpoint in cold start, for which the caller must get a
-// permit; to warm one up it must be in the instance's own zone.
+// permit, or returns nil.
 func (p *Pool) BeginCold(q *routing.Query, digest quarantine.Digest, reason routing.Reason) *Dispatch {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best *routing.Endpoint
-	looked := 0
-	p.index.All(q.Target.Serves(), func(e *routing.Endpoint) {
-		looked++
-		usable := !e.Down && !e.Warm && !slices.Contains(q.Tried, e.ID)
-		usable = usable && (reason != routing.ReasonWarmUp || e.Zone == p.zone)
-		if !usable || routing.PermitDispatch(q.View, q.Fresh, q.Workspace, q.Target, e) != routing.Permitted {
-			return
-		}
-		if best == nil || e.Zone == q.Fresh.Zone && best.Zone != q.Fresh.Zone || e.Zone == best.Zone && e.Load() < best.Load() {
-			best = e
-		}
-	})
-	if best == nil {
+	choice := p.index.ChooseCold(q, reason)
+	if choice.Endpoint == nil {
 		return nil
 	}
-	d := p.begin(p.members[best.ID], routing.Choice{Endpoint: best, Reason: reason, Considered: looked}, digest)
-	d.Cold = true
-	return d
+	return p.begin(p.members[choice.Endpoint.ID], choice, digest)
 }
 
 func (p *Pool) begin(m *member, choice routing.Choice, digest quarantine.Digest) *Dispatch {
--- a/entry/router/attempts.go
+++ b/entry/router/attempts.go
@@ -235,20 +235,17 @@
 	if d == nil {
 		return nil, nil
 	}
-	permit := r.parts.Gate.Acquire(ctx, d.Zone, d.ID, permitID(), d.Bears)
+	permit := r.parts.Gate.Acquire(ctx, d.Zone, d.ID, uuid.NewString(), d.Bears)
 	if permit == nil {
-		r.parts.Pool.End(d, errNoPermit)
+		r.parts.Pool.End(d, errNotDispatched)
 		return nil, nil
 	}
 	a.logRoute(d)
 	return d, permit
 }
 
-var errNoPermit = fault.New("permit", endpoint.KindCanceled, "no permit for a cold endpoint")
-
-func permitID() string {
-	return uuid.NewString()
-}
+// errNotDispatched ends a dispatch that was begun and from which nothing was sent.
+var errNotDispatched = fault.New("dispatch", endpoint.KindCanceled, "nothing was sent")
 
 func (a *attempts) logRoute(d *pool.Dispatch) {
 	a.job.router.decide("route", "request", a.job.ID, "workspace", a.job.Workspace, "version", a.version,
@@ -277,19 +274,19 @@
 		defer permit.Release()
 		attempt.MayBeCold = true
 		attempt.Fence = permit.Fence
-		defer r.cancelAt(ctx, permit.Until, cancel)()
+		defer r.cancelUnless(ctx, permit.Until, never, cancel)()
 	}
 	if a.received == 0 {
 		defer r.cancelUnless(ctx, a.job.deadline, a.begun.Load, cancel)()
 	}
 	body, err := a.job.Body.ForEngine(string(a.version))
 	if err != nil {
-		r.parts.Pool.End(d, errNoPermit)
+		r.parts.Pool.End(d, errNotDispatched)
 		return fault.New("dispatch", endpoint.KindFailed, "%w", err)
 	}
 	// The clock is read last, so that a pause since the permit is noticed.
 	if permit != nil && r.clock.Mono() >= permit.Until {
-		r.parts.Pool.End(d, errNoPermit)
+		r.parts.Pool.End(d, errNotDispatched)
 		return fault.New("dispatch", endpoint.KindNotSent, "the permit lapsed")
 	}
 	r.Reached(StepDispatched, a.job.ID)
@@ -335,12 +332,10 @@
 	return a.job.Text(text)
 }
 
-// cancelAt cancels at a monotonic time; the function that it returns stops that.
-func (r *Router) cancelAt(ctx context.Context, at clock.Millis, cancel context.CancelFunc) func() {
-	return r.cancelUnless(ctx, at, func() bool { return false }, cancel)
-}
+func never() bool { return false }
 
-// cancelUnless cancels at a monotonic time unless the condition holds by then.
+// cancelUnless cancels at a monotonic time unless the condition holds by then;
+// the function that it returns stops that.
 func (r *Router) cancelUnless(ctx context.Context, at clock.Millis, unless func() bool, cancel context.CancelFunc) func() {
 	waiting, stop := context.WithCancel(ctx)
 	go func() {
--- a/entry/router/call.go
+++ b/entry/router/call.go
@@ -291,7 +291,7 @@
 	// The deadline is checked last, so that a pause does not run a request late.
 	if r.clock.Mono() >= j.deadline {
 		err := fault.New("dispatch", endpoint.KindNotSent, "the deadline has passed")
-		r.parts.Pool.End(d, errNoPermit)
+		r.parts.Pool.End(d, errNotDispatched)
 		return nil, err
 	}
 	r.Reached(StepDispatched, j.ID)
--- a/policy/gate/permit.go
+++ b/policy/gate/permit.go
@@ -52,11 +52,6 @@
 	delete(p.outstanding[endpoint], id)
 }
 
-// Outstanding returns the number of permits in use for the endpoint.
-func (p *Permits) Outstanding(endpoint EndpointID, now clock.Millis) int {
-	return len(p.live(endpoint, now))
-}
-
 func (p *Permits) live(endpoint EndpointID, now clock.Millis) map[PermitID]clock.Millis {
 	permits := p.outstanding[endpoint]
 	if permits == nil {
--- a/policy/routing/routing.go
+++ b/policy/routing/routing.go
@@ -174,8 +174,8 @@
 )
 
 // Choose returns the endpoint for a query. It prefers the instance's own zone,
-// there the endpoint that probably caches the prefix, else the less loaded of
-// two random endpoints.
+// there the endpoint that probably caches the prefix, else the least loaded home
+// endpoint, else the less loaded of two random endpoints.
 func (p *Pool) Choose(q *Query, random *rand.Rand) Choice {
 	g := p.byServes[q.Target.Serves()]
 	if g == nil {
@@ -191,13 +191,41 @@
 		return d.lastResort(g)
 	}
 	if own.Endpoint == nil || other.Endpoint != nil && other.Endpoint.Load()+spillSlack < own.Endpoint.Load() {
-		other.Considered += own.Considered
 		other.Reason = ReasonOtherZone
 		return other
 	}
 	return own
 }
 
+// ChooseCold returns an endpoint in cold start for a query, of the instance's own
+// zone if there is one; for ReasonWarmUp it looks in the own zone only. The
+// caller must get a permit for it.
+func (p *Pool) ChooseCold(q *Query, reason Reason) Choice {
+	best := Choice{Reason: reason}
+	own := q.Fresh.Zone
+	p.All(q.Target.Serves(), func(e *Endpoint) {
+		best.Considered++
+		usable := !e.Down && !e.Warm && !slices.Contains(q.Tried, e.ID)
+		usable = usable && (reason != ReasonWarmUp || e.Zone == own)
+		if usable && PermitDispatch(q.View, q.Fresh, q.Workspace, q.Target, e) == Permitted && preferCold(e, best.Endpoint, own) {
+			best.Endpoint = e
+		}
+	})
+	return best
+}
+
+// preferCold reports whether e is a better choice than other: the own zone goes
+// first, within a zone the lower load.
+func preferCold(e, other *Endpoint, own ticket.ZoneName) bool {
+	switch {
+	case other == nil:
+		return true
+	case e.Zone != other.Zone:
+		return e.Zone == own
+	}
+	return e.Load() < other.Load()
+}
+
 // decision carries one Choose call.
 type decision struct {
 	query   *Query
--- a/policy/ticket/state.go
+++ b/policy/ticket/state.go
@@ -144,9 +144,7 @@
 // View is an immutable typed form of a State.
 type View struct {
 	// Digest identifies the state.
-	Digest Digest
-	// Newest is the highest offset of a ticket that is in force.
-	Newest     Offset
+	Digest     Digest
 	Workspaces map[WorkspaceName]*Workspace
 	Versions   map[VersionRef]*ModelVersion
 	Rollouts   map[RolloutName]*Rollout
@@ -170,7 +168,6 @@
 func (v *View) with(changed []Entry, digest Digest) *View {
 	next := &View{
 		Digest:     digest,
-		Newest:     v.Newest,
 		Workspaces: maps.Clone(v.Workspaces),
 		Versions:   maps.Clone(v.Versions),
 		Rollouts:   maps.Clone(v.Rollouts),
@@ -185,7 +182,6 @@
 }
 
 func (v *View) set(e *Entry) {
-	v.Newest = max(v.Newest, e.Offset)
 	v.numbers[objectID{e.Kind, e.Name}] = e.Number
 	switch e.Kind {
 	case ObjectWorkspace:
