--- /dev/null
+++ b/entry/forward/doc.go
@@ -0,0 +1,2 @@
+// Package forward carries requests from callers to endpoints and their answers back.
+package forward
--- /dev/null
+++ b/entry/forward/endpoints.go
@@ -0,0 +1,296 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/hashicorp/go-hclog"
+
+	"foxtailbridge/entry/registry"
+	"foxtailbridge/policy/catalog"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/placement"
+	"foxtailbridge/policy/routing"
+	"foxtailbridge/policy/share"
+	"foxtailbridge/policy/ticket"
+)
+
+type endpointKey struct {
+	id   routing.EndpointID
+	born clock.Millis
+}
+
+// pool holds what this instance knows of one service's endpoints.
+type pool struct {
+	states []*placement.State
+	// failures is the share of all runs that failed.
+	failures placement.Average
+	retries  share.Retries
+}
+
+// endpoints holds the pools of all services. Its methods take the lock.
+type endpoints struct {
+	clock  *clock.Clock
+	logger hclog.Logger
+	limits *atomic.Pointer[Limits]
+	// instances returns how many instances share the fleet's limits.
+	instances func() int
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	version uint64
+	pools   map[ticket.ServiceName]*pool
+	known   map[endpointKey]*placement.State
+	// delays holds the usual time to the first byte of each kind of work.
+	delays map[delayKey]*placement.Average
+}
+
+type delayKey struct {
+	route catalog.RouteName
+	model ticket.ModelName
+}
+
+func newEndpoints(c *clock.Clock, logger hclog.Logger, limits *atomic.Pointer[Limits], random *rand.Rand) *endpoints {
+	return &endpoints{
+		clock: c, logger: logger, limits: limits, random: random,
+		instances: func() int { return 1 },
+		pools:     map[ticket.ServiceName]*pool{},
+		known:     map[endpointKey]*placement.State{},
+		delays:    map[delayKey]*placement.Average{},
+	}
+}
+
+// sync follows the view; the caller holds the lock.
+func (e *endpoints) sync(view *registry.State, now clock.Millis) {
+	if view.Version == e.version {
+		return
+	}
+	e.version = view.Version
+	known := map[endpointKey]*placement.State{}
+	for name, list := range view.Endpoints {
+		p := e.pool(name)
+		p.states = p.states[:0]
+		for _, endpoint := range list {
+			key := endpointKey{endpoint.ID, endpoint.Born}
+			s := e.known[key]
+			if s == nil {
+				s = placement.NewState(endpoint, now)
+			}
+			if endpoint.Cold > 0 && (s.Endpoint != endpoint || s.ColdUntil == 0) {
+				s.ColdUntil = max(s.ColdUntil, now+endpoint.Cold)
+			}
+			s.ColdUntil = max(s.ColdUntil, view.Chilled[endpoint.Zone])
+			s.Endpoint = endpoint
+			known[key] = s
+			p.states = append(p.states, s)
+		}
+	}
+	for name, p := range e.pools {
+		if len(view.Endpoints[name]) == 0 {
+			p.states = nil
+		}
+	}
+	e.known = known
+}
+
+func (e *endpoints) pool(name ticket.ServiceName) *pool {
+	p := e.pools[name]
+	if p == nil {
+		p = &pool{retries: share.Retries{Ratio: e.limits.Load().RetryRatio * ownPart, Span: e.limits.Load().RetrySpan}}
+		e.pools[name] = p
+	}
+	return p
+}
+
+// ownPart is the part of a fleet limit that is used, so that windows that are
+// counted apart stay below it together.
+const ownPart = 0.8
+
+// choose picks an endpoint and counts the request there.
+func (e *endpoints) choose(view *registry.State, service *catalog.Service, q *placement.Query) placement.Choice {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	q.Now = e.clock.Mono()
+	e.sync(view, q.Now)
+	q.ColdRate = service.ColdRate / float64(max(1, e.instances()))
+	p := e.pool(service.Name)
+	choice := placement.Choose(p.states, q, e.random)
+	if choice.State != nil && !q.Begin(choice.State) {
+		choice.State, choice.Reason = nil, routing.ReasonCold
+	}
+	return choice
+}
+
+// peek returns how an endpoint choice would go, without counting anything.
+func (e *endpoints) peek(view *registry.State, service *catalog.Service, q *placement.Query) placement.Choice {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	q.Now = e.clock.Mono()
+	e.sync(view, q.Now)
+	q.ColdRate = service.ColdRate / float64(max(1, e.instances()))
+	return placement.Choose(e.pool(service.Name).states, q, e.random)
+}
+
+// begun notes that the endpoint has read a request's prompt.
+func (e *endpoints) begun(s *placement.State, parts []placement.Part, reading *bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if *reading {
+		*reading = false
+		s.Reading -= placement.Tokens(parts)
+	}
+	s.Keep(parts, e.clock.Mono())
+}
+
+// ended takes a request off an endpoint.
+func (e *endpoints) ended(s *placement.State, parts []placement.Part, reading *bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.Own--
+	if *reading {
+		*reading = false
+		s.Reading -= placement.Tokens(parts)
+	}
+}
+
+// heard notes an answer's head.
+func (e *endpoints) heard(s *placement.State, service *catalog.Service, load *placement.Load) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Mono()
+	if s.Hear(now) && service.ColdSpan > 0 {
+		// An endpoint that was out of reach may have started anew.
+		s.Forget()
+	}
+	if load != nil {
+		s.Report(*load, now)
+	}
+}
+
+// touched notes that any byte came from the endpoint.
+func (e *endpoints) touched(s *placement.State) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.LastHeard = e.clock.Mono()
+}
+
+// lastHeard returns when any byte last came from the endpoint.
+func (e *endpoints) lastHeard(s *placement.State) clock.Millis {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.LastHeard
+}
+
+// lost notes that the endpoint could not be reached or fell silent.
+func (e *endpoints) lost(s *placement.State, why Kind) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Mono()
+	was := s.Down(now)
+	s.Fail(now)
+	if !was {
+		e.logger.Info("endpoint-out", "endpoint", s.Endpoint.ID, "address", s.Endpoint.Address, "why", why, "heard-ms", int64(now-s.LastHeard))
+	}
+}
+
+// excessFloor is the share of failures above twice the usual from which an
+// endpoint counts as sick.
+const (
+	excessFloor = 0.2
+	excessRuns  = 5
+)
+
+// rate counts a run for the endpoint, and returns whether the endpoint fails
+// more often than its peers.
+func (e *endpoints) rate(s *placement.State, service ticket.ServiceName, failed bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	p := e.pool(service)
+	s.Failures.Add(value)
+	weight := 1 / float64(min(p.failures.Count+1, 200))
+	p.failures.Count++
+	p.failures.Mean += weight * (value - p.failures.Mean)
+	s.Excess = 0
+	if s.Failures.Count >= excessRuns {
+		s.Excess = max(0, s.Failures.Mean-2*p.failures.Mean-excessFloor)
+	}
+	return s.Excess > 0
+}
+
+// doubtful reports whether the endpoint fails more often than its peers.
+func (e *endpoints) doubtful(s *placement.State) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.Excess > 0
+}
+
+const (
+	// slowFactor and slowFloor say how much longer than usual an answer takes
+	// that counts as slow.
+	slowFactor = 3.5
+	slowFloor  = 150.0
+	// usualRuns is how many runs make a usual delay.
+	usualRuns = 10
+)
+
+// delay takes the time to the first byte of a run, and reports whether it was
+// slow for its kind of work. Only runs of the usual release set the measure.
+func (e *endpoints) delay(s *placement.State, key delayKey, span clock.Millis, usual bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := e.delays[key]
+	if a == nil {
+		a = &placement.Average{}
+		e.delays[key] = a
+	}
+	slow := a.Count >= usualRuns && float64(span) > slowFactor*a.Mean+slowFloor
+	if a.Count >= usualRuns {
+		s.Delay.Add(float64(span) / max(1, a.Mean))
+	}
+	if usual {
+		weight := 1 / float64(min(a.Count+1, 50))
+		a.Count++
+		a.Mean += weight * (float64(span) - a.Mean)
+	}
+	return slow
+}
+
+// expected returns the usual time to the first byte, or 0 if it is not known.
+func (e *endpoints) expected(key delayKey) clock.Millis {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a := e.delays[key]; a != nil && a.Count >= usualRuns {
+		return clock.Millis(a.Mean)
+	}
+	return 0
+}
+
+// note counts a request of a service.
+func (e *endpoints) note(service ticket.ServiceName) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pool(service).retries.Note(e.clock.Mono())
+}
+
+// takeRetry spends one repeat of this instance's part of the fleet's budget.
+func (e *endpoints) takeRetry(service ticket.ServiceName) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pool(service)
+	p.retries.Slack = e.limits.Load().RetrySlack * ownPart / float64(max(1, e.instances()))
+	return p.retries.Take(e.clock.Mono())
+}
+
+// hasRetry reports whether takeRetry would succeed.
+func (e *endpoints) hasRetry(service ticket.ServiceName) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pool(service)
+	p.retries.Slack = e.limits.Load().RetrySlack * ownPart / float64(max(1, e.instances()))
+	return p.retries.Has(e.clock.Mono())
+}
--- /dev/null
+++ b/entry/forward/forward.go
@@ -0,0 +1,189 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"foxtailbridge/entry/registry"
+	"foxtailbridge/entry/relay"
+	"foxtailbridge/policy/catalog"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/quarantine"
+	"foxtailbridge/policy/ticket"
+)
+
+// Limits bound what all instances do together, and what one may hold.
+type Limits struct {
+	Zone ticket.ZoneName
+	// RetryRatio and RetrySlack bound the repeats of a service over RetrySpan.
+	RetryRatio float64
+	RetrySlack float64
+	RetrySpan  clock.Millis
+	// Exposure is the largest share of requests for a release that may be bad.
+	Exposure float64
+	// SessionSpan is how long a session belongs together.
+	SessionSpan clock.Millis
+	// Confirmed is the age of the view up to which what is missing in it does not exist.
+	Confirmed clock.Millis
+}
+
+// Parts are the parts of an instance that the pipeline uses.
+type Parts struct {
+	Registry *registry.Registry
+	Relay    *relay.Relay
+	Sender   Sender
+	Clock    *clock.Clock
+	Random   *rand.Rand
+	Logger   hclog.Logger
+	Scope    tally.Scope
+}
+
+// Forwarder serves requests of one instance.
+type Forwarder struct {
+	parts     Parts
+	limits    *atomic.Pointer[Limits]
+	clock     *clock.Clock
+	logger    hclog.Logger
+	endpoints *endpoints
+	releases  *releases
+}
+
+// New returns a Forwarder.
+func New(l *Limits, parts Parts) *Forwarder {
+	logger := parts.Logger.Named("forward")
+	limits := &atomic.Pointer[Limits]{}
+	limits.Store(l)
+	f := &Forwarder{
+		parts:     parts,
+		limits:    limits,
+		clock:     parts.Clock,
+		logger:    logger,
+		endpoints: newEndpoints(parts.Clock, logger, limits, parts.Random),
+		releases:  &releases{clock: parts.Clock, limits: limits, stopped: parts.Relay.Stopped, sessions: map[string]pin{}},
+	}
+	f.endpoints.instances = parts.Relay.Instances
+	return f
+}
+
+// SetLimits replaces the limits, after a change of the settings.
+func (f *Forwarder) SetLimits(l *Limits) {
+	f.limits.Store(l)
+}
+
+// latencies are the buckets of the histograms.
+var latencies = tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 14)
+
+// Serve carries a request to an end. It streams through reply, and returns what
+// else to answer.
+func (f *Forwarder) Serve(ctx context.Context, request *Request, reply Reply) Result {
+	t := &task{Forwarder: f, request: request, reply: reply, view: f.parts.Registry.View()}
+	result := t.serve(ctx)
+	t.record(&result)
+	return result
+}
+
+// refuseUnknown answers what the configuration does not allow. A view that the
+// store has not confirmed lately may only be behind, so it promises a retry.
+func (f *Forwarder) refuseUnknown(status int, reason Reason) Result {
+	if f.parts.Registry.Age(registry.FeedOrders) > f.limits.Load().Confirmed {
+		return own(http.StatusServiceUnavailable, ReasonUnconfirmed, unconfirmedPause)
+	}
+	return own(status, reason, 0)
+}
+
+const (
+	// startPause is when a caller may come back to an instance without a configuration.
+	startPause = 500 * clock.Millis(1)
+	// unconfirmedPause is the same for one whose view is old.
+	unconfirmedPause = 400 * clock.Millis(1)
+)
+
+// admit finds route and workspace of a request, or a refusal.
+func (t *task) admit() (Result, bool) {
+	config := t.view.Config
+	if config == nil {
+		return own(http.StatusServiceUnavailable, ReasonNoConfig, startPause), false
+	}
+	t.route = config.Match(t.request.Host, t.request.Path)
+	if t.route == nil {
+		return t.refuseUnknown(http.StatusNotFound, ReasonNoRoute), false
+	}
+	t.rank = t.route.Rank
+	if config.Keyed && !t.route.Public {
+		w := config.Workspace(t.request.Key)
+		if w == nil {
+			return t.refuseUnknown(http.StatusUnauthorized, ReasonNoKey), false
+		}
+		t.workspace = w.Name
+		if w.HasRank {
+			t.rank = w.Rank
+		}
+	}
+	t.service = config.Services[t.route.Service(t.request.hash())]
+	if t.service == nil {
+		return own(http.StatusServiceUnavailable, ReasonNoEndpoint, startPause), false
+	}
+	if len(t.request.Body) > 0 || t.route.Repeat == RepeatFreely {
+		t.digest = t.request.digest(t.workspace)
+		if t.parts.Relay.Judge(t.digest) == quarantine.VerdictQuarantined {
+			return own(http.StatusBadGateway, ReasonQuarantined, 0), false
+		}
+	}
+	return Result{}, true
+}
+
+// RepeatFreely is the catalog's rule, named here for the pipeline's tests.
+const RepeatFreely = catalog.RepeatFreely
+
+// record writes the request's line and its metrics.
+func (t *task) record(result *Result) {
+	span := t.clock.Mono() - t.request.Began
+	outcome := string(result.Reason)
+	scope := t.parts.Scope.Tagged(map[string]string{"outcome": outcome})
+	scope.Counter("requests").Inc(1)
+	if t.firstAt > 0 {
+		t.parts.Scope.Histogram("first_byte", latencies).RecordDuration((t.firstAt - t.request.Began).Duration())
+	}
+	t.parts.Scope.Histogram("whole", latencies).RecordDuration(span.Duration())
+	args := []any{"request", t.request.ID, "outcome", outcome, "status", result.Status, "ms", int64(span)}
+	if t.route != nil {
+		args = append(args, "route", t.route.Name, "workspace", t.workspace, "rank", t.rank)
+	}
+	if t.view.Config != nil {
+		args = append(args, "config", t.view.Config.Revision, "view-age-ms", int64(t.parts.Registry.Age(registry.FeedOrders)))
+	}
+	if t.last != nil {
+		args = append(args, "endpoint", t.last.Endpoint.ID, "release", t.last.Endpoint.Release, "model", t.model, "runs", t.runs, "sends", t.sends, "arm", t.arm)
+	}
+	if t.firstAt > 0 {
+		args = append(args, "first-ms", int64(t.firstAt-t.request.Began))
+	}
+	if result.RetryAfter > 0 {
+		args = append(args, "retry-after-ms", int64(result.RetryAfter))
+	}
+	if result.Own && result.Reason != ReasonGone {
+		t.logger.Warn("request", args...)
+		return
+	}
+	t.logger.Info("request", args...)
+}
+
+// Free reports how many slots are free over all services, for status pages.
+func (f *Forwarder) Free() int {
+	f.endpoints.mu.Lock()
+	defer f.endpoints.mu.Unlock()
+	now := f.clock.Mono()
+	free := 0
+	for _, p := range f.endpoints.pools {
+		for _, s := range p.states {
+			free += max(0, s.Endpoint.Slots-s.Occupied(now))
+		}
+	}
+	return free
+}
--- /dev/null
+++ b/entry/forward/releases.go
@@ -0,0 +1,166 @@
+package forward
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"foxtailbridge/entry/registry"
+	"foxtailbridge/policy/catalog"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/rollout"
+	"foxtailbridge/policy/routing"
+	"foxtailbridge/policy/ticket"
+)
+
+// Arm says which release a request gets.
+type Arm string
+
+// Arms.
+const (
+	// ArmAny means that no order is under way.
+	ArmAny Arm = "any"
+	ArmOld Arm = "old"
+	ArmNew Arm = "new"
+)
+
+// releases decides which release a request gets while an order is under way.
+type releases struct {
+	clock  *clock.Clock
+	limits *atomic.Pointer[Limits]
+	// stopped reports whether an order's new release was found bad.
+	stopped func(catalog.OrderNumber) bool
+
+	mu       sync.Mutex
+	sessions map[string]pin
+	swept    clock.Millis
+}
+
+// pin is the release on which a session ran last.
+type pin struct {
+	release catalog.Release
+	until   clock.Millis
+}
+
+// progress is where an order stands.
+type progress struct {
+	order   *catalog.Order
+	outcome registry.Outcome
+	phase   rollout.Phase
+	elapsed clock.Millis
+}
+
+// orderOf returns the progress of a service's order, or nil if there is none.
+func (r *releases) orderOf(view *registry.State, service ticket.ServiceName) *progress {
+	order := view.Orders[service]
+	if order == nil {
+		return nil
+	}
+	p := &progress{order: order, outcome: registry.OutcomeRunning, elapsed: r.clock.Mono() - order.Seen}
+	p.phase = rollout.PhaseAt(p.elapsed, order.Span)
+	status, ok := view.Statuses[service]
+	if ok && status.Target == order.Target && status.Outcome.Final() && (status.Order == 0 || status.Order == order.Number) {
+		p.outcome = status.Outcome
+	} else if r.stopped(order.Number) {
+		p.outcome = registry.OutcomeRolledBack
+	}
+	return p
+}
+
+const (
+	shareBuckets = 10000
+	// canaryCrowd is how many times their part of the endpoints the canary's
+	// share is served by, so that they are about as loaded as the others.
+	canaryCrowd = 1.5
+)
+
+// pick returns the arm for a request and a filter for its endpoints.
+func (r *releases) pick(view *registry.State, service ticket.ServiceName, session string) (Arm, func(*catalog.Endpoint) bool, *progress) {
+	p := r.orderOf(view, service)
+	if p == nil {
+		return ArmAny, view.Holds, nil
+	}
+	arm := r.arm(p, session)
+	target := p.order.Target
+	if arm == ArmOld {
+		return arm, func(e *catalog.Endpoint) bool { return e.Release != target && view.Holds(e) }, p
+	}
+	if p.phase == rollout.PhaseCanary && p.outcome == registry.OutcomeRunning {
+		chosen := r.canaries(view, service, p.order)
+		return arm, func(e *catalog.Endpoint) bool { return e.Release == target && chosen[e.ID] && view.Holds(e) }, p
+	}
+	return arm, func(e *catalog.Endpoint) bool { return e.Release == target && view.Holds(e) }, p
+}
+
+func (r *releases) arm(p *progress, session string) Arm {
+	switch p.outcome {
+	case registry.OutcomeCompleted:
+		return ArmNew
+	case registry.OutcomeRolledBack:
+		return ArmOld
+	}
+	now := r.clock.Mono()
+	r.mu.Lock()
+	last, pinned := r.sessions[session]
+	r.mu.Unlock()
+	if pinned && now < last.until {
+		if last.release == p.order.Target {
+			return ArmNew
+		}
+		if rollout.FirstHalf(p.elapsed, p.order.Span) {
+			return ArmOld
+		}
+	}
+	share := rollout.CanaryShare(p.phase, r.limits.Load().Exposure)
+	bucket := xxhash.Sum64String(string(p.order.Target)+"\x00"+session) % shareBuckets
+	if float64(bucket) < share*shareBuckets {
+		return ArmNew
+	}
+	return ArmOld
+}
+
+// canaries returns the new endpoints that serve the canary's share; all
+// instances pick the same.
+func (r *releases) canaries(view *registry.State, service ticket.ServiceName, order *catalog.Order) map[routing.EndpointID]bool {
+	var fresh []*catalog.Endpoint
+	for _, e := range view.Endpoints[service] {
+		if e.Release == order.Target && view.Holds(e) {
+			fresh = append(fresh, e)
+		}
+	}
+	share := rollout.CanaryShare(rollout.PhaseCanary, r.limits.Load().Exposure)
+	want := max(2, int(share*canaryCrowd*float64(len(fresh))+0.999))
+	chosen := map[routing.EndpointID]bool{}
+	for len(chosen) < want && len(chosen) < len(fresh) {
+		var best *catalog.Endpoint
+		var bestWeight uint64
+		for _, e := range fresh {
+			if w := routing.Weight(uint64(order.Number), string(e.ID)); !chosen[e.ID] && (best == nil || w > bestWeight) {
+				best, bestWeight = e, w
+			}
+		}
+		chosen[best.ID] = true
+	}
+	return chosen
+}
+
+// remember pins a session to the release on which it ran.
+func (r *releases) remember(session string, release catalog.Release) {
+	if session == "" {
+		return
+	}
+	now := r.clock.Mono()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sessions[session] = pin{release: release, until: now + r.limits.Load().SessionSpan}
+	if now-r.swept < r.limits.Load().SessionSpan {
+		return
+	}
+	r.swept = now
+	for s, p := range r.sessions {
+		if now >= p.until {
+			delete(r.sessions, s)
+		}
+	}
+}
--- /dev/null
+++ b/entry/forward/task.go
@@ -0,0 +1,528 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"foxtailbridge/entry/registry"
+	"foxtailbridge/policy/attempt"
+	"foxtailbridge/policy/cascade"
+	"foxtailbridge/policy/catalog"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/evidence"
+	"foxtailbridge/policy/fault"
+	"foxtailbridge/policy/placement"
+	"foxtailbridge/policy/quarantine"
+	"foxtailbridge/policy/routing"
+	"foxtailbridge/policy/ticket"
+)
+
+// task carries one request through its attempts. It belongs to one goroutine.
+type task struct {
+	*Forwarder
+	request   *Request
+	reply     Reply
+	view      *registry.State
+	route     *catalog.Route
+	service   *catalog.Service
+	workspace ticket.WorkspaceName
+	rank      catalog.Rank
+	digest    quarantine.Digest
+
+	deadline clock.Millis
+	arm      Arm
+	progress *progress
+	model    ticket.ModelName
+	tried    []*placement.State
+	// runs counts attempts that may have run, sends all that reached an endpoint.
+	runs  int
+	sends int
+	last  *placement.State
+	// release and weights bind a begun stream.
+	release catalog.Release
+	weights string
+	after   EventID
+	begun   bool
+	firstAt clock.Millis
+	// refused explains why no endpoint was found.
+	refused placement.Choice
+}
+
+const (
+	// extraSends is how many endpoints beyond the route's attempts may turn a
+	// request away without running it.
+	extraSends = 2
+	// plainPatience and enginePatience are the fills up to which requests queue
+	// at endpoints: a plain endpoint drains a slot in some 10 ms.
+	plainPatience  = 2.5
+	enginePatience = 1.3
+	// urgentPatience is added for each rank of urgency above the lowest.
+	urgentPatience = 0.12
+	lowestRank     = 3
+	// leastLeft is the time that an attempt must still have.
+	leastLeft = 20 * clock.Millis(1)
+)
+
+func (t *task) serve(ctx context.Context) Result {
+	if result, ok := t.admit(); !ok {
+		return result
+	}
+	t.deadline = t.request.Began + t.route.Timeout
+	if t.request.Wait > 0 {
+		t.deadline = min(t.deadline, t.request.Began+t.request.Wait)
+	}
+	t.after = t.request.After
+	if t.request.AnyModel && len(t.route.Ladder) > 0 {
+		t.model = t.route.Ladder[0]
+	}
+	t.endpoints.note(t.service.Name)
+	for {
+		choice := t.find()
+		if choice.State == nil {
+			return t.unplaced(choice)
+		}
+		end, answer := t.attempt(ctx, choice.State)
+		if result, done := t.follow(ctx, end, answer); done {
+			return result
+		}
+	}
+}
+
+// query asks for an endpoint for the next attempt.
+func (t *task) query() *placement.Query {
+	t.view = t.parts.Registry.View()
+	var accept func(*catalog.Endpoint) bool
+	if t.release != "" {
+		release := t.release
+		view := t.view
+		accept = func(e *catalog.Endpoint) bool { return e.Release == release && view.Holds(e) }
+	} else {
+		t.arm, accept, t.progress = t.releases.pick(t.view, t.service.Name, t.sessionKey())
+	}
+	patience := plainPatience
+	if t.service.Engine != nil {
+		patience = enginePatience
+	}
+	patience += urgentPatience * float64(max(0, lowestRank-t.rank))
+	return &placement.Query{
+		Zone:     t.limits.Load().Zone,
+		Parts:    t.request.Parts,
+		Size:     len(t.request.Body),
+		Accept:   accept,
+		Tried:    t.tried,
+		Patience: patience,
+		Risky:    t.repeatable() && t.sends == 0,
+	}
+}
+
+// sessionKey groups requests that must stay on one release.
+func (t *task) sessionKey() string {
+	if t.request.Session != "" {
+		return t.request.Session
+	}
+	return string(t.request.ID)
+}
+
+// find picks an endpoint; a new release without endpoints gives way to the old one.
+func (t *task) find() placement.Choice {
+	if t.clock.Mono()+leastLeft > t.deadline {
+		return placement.Choice{Reason: routing.Reason(ReasonLate)}
+	}
+	q := t.query()
+	choice := t.endpoints.choose(t.view, t.service, q)
+	if choice.State != nil {
+		return choice
+	}
+	if t.release == "" && t.arm == ArmNew {
+		t.arm = ArmOld
+		target, view := t.progress.order.Target, t.view
+		q.Accept = func(e *catalog.Endpoint) bool { return e.Release != target && view.Holds(e) }
+		choice = t.endpoints.choose(t.view, t.service, q)
+	}
+	if choice.State == nil && !q.Risky {
+		q.Risky = true
+		choice = t.endpoints.choose(t.view, t.service, q)
+	}
+	return choice
+}
+
+func (t *task) repeatable() bool {
+	return t.route.Repeat == catalog.RepeatFreely || t.route.Stream && t.route.Resumable
+}
+
+// unplaced ends a request for which there is no endpoint.
+func (t *task) unplaced(choice placement.Choice) Result {
+	t.refused = choice
+	late := choice.Reason == routing.Reason(ReasonLate)
+	t.logger.Info("no-endpoint", "request", t.request.ID, "reason", choice.Reason, "considered", choice.Considered,
+		"free", choice.Free, "slots", choice.Slots, "waiting", choice.Waiting, "runs", t.runs)
+	switch {
+	case t.begun:
+		return Result{Reason: ReasonCut, Cut: true}
+	case t.runs > 0 && late:
+		return own(http.StatusGatewayTimeout, ReasonLate, 0)
+	case t.runs > 0:
+		return own(http.StatusBadGateway, ReasonUnknown, 0)
+	case late:
+		return own(http.StatusServiceUnavailable, ReasonLate, shortPause)
+	case choice.Reason == routing.ReasonFull:
+		return own(http.StatusServiceUnavailable, ReasonFull, t.drain(choice))
+	}
+	return own(http.StatusServiceUnavailable, ReasonNoEndpoint, t.drain(choice))
+}
+
+const (
+	// shortPause is when a caller may come back if an endpoint frees up any moment.
+	shortPause = 150 * clock.Millis(1)
+	// longestPause bounds Retry-After: endpoints are back or replaced by then.
+	longestPause = 2 * clock.Second
+)
+
+// drain estimates when an endpoint will have room.
+func (t *task) drain(choice placement.Choice) clock.Millis {
+	if choice.Slots == 0 {
+		return clock.Second
+	}
+	usual := t.endpoints.expected(delayKey{t.route.Name, t.model})
+	over := float64(choice.Waiting+1) / float64(choice.Slots)
+	return min(longestPause, max(shortPause, shortPause+clock.Millis(over*float64(max(usual, 100)))))
+}
+
+// attempt sends the request to one endpoint and reads the answer's head.
+func (t *task) attempt(ctx context.Context, s *placement.State) (attempt.End, *run) {
+	r := &run{task: t, state: s, reading: true, sentAt: t.clock.Mono(), key: delayKey{t.route.Name, t.model}}
+	t.last = s
+	t.sends++
+	t.tried = append(t.tried, s)
+	answer, err := t.parts.Sender.Send(ctx, t.outgoing(s))
+	end := attempt.End{
+		Sent:       attempt.SentSome,
+		Repeatable: t.repeatable(),
+		Resumable:  t.route.Resumable,
+		Begun:      t.begun,
+		RanBefore:  t.runs > 0,
+	}
+	if err != nil {
+		t.broken(ctx, r, &end, err)
+		r.end()
+		return end, r
+	}
+	r.answer = answer
+	t.endpoints.heard(s, t.service, answer.Load)
+	switch {
+	case answer.NotRun || answer.Moved:
+		end.Result = attempt.ResultNotRun
+		answer.Close()
+		r.end()
+		if answer.Moved {
+			t.endpoints.lost(s, KindNotSent)
+		}
+	case answer.Status >= http.StatusBadRequest:
+		end.Result = attempt.ResultFailed
+		t.runs++
+		r.rate(answer.Status >= http.StatusInternalServerError)
+		end.Doubtful = t.endpoints.doubtful(s)
+		r.end()
+	default:
+		t.runs++
+		end.Result = attempt.ResultAnswered
+		r.first()
+		if t.unsure(answer) {
+			end.Result = attempt.ResultUnsure
+		}
+	}
+	end.Another = t.another(&end)
+	return end, r
+}
+
+func (t *task) outgoing(s *placement.State) *Attempt {
+	left := t.deadline - t.clock.Mono()
+	a := &Attempt{
+		Request: t.request, Endpoint: s.Endpoint, Workspace: t.workspace, Rank: t.rank, Model: t.model,
+		Left: left, FirstBy: left, After: t.after, Weights: t.weights, Stream: t.route.Stream,
+		Gap: t.gap(),
+	}
+	if t.repeatable() && t.sends <= t.route.Attempts-1 {
+		a.FirstBy = min(left, t.patience())
+	}
+	return a
+}
+
+const (
+	// silenceGoals is how many goals an answer's head may take before a
+	// repeatable request is sent elsewhere.
+	silenceGoals = 0.6
+	// plainSilenceGoals is the same for plain requests, whose goal is short.
+	plainSilenceGoals = 2.5
+	// gapGoals is the part of the longest pause after which a stream goes on elsewhere.
+	gapGoals = 0.75
+)
+
+// patience is how long a repeatable request waits for an answer's head.
+func (t *task) patience() clock.Millis {
+	goals := plainSilenceGoals
+	if t.route.Stream {
+		goals = silenceGoals
+	}
+	usual := t.endpoints.expected(delayKey{t.route.Name, t.model})
+	return max(clock.Millis(goals*float64(t.route.Goal)), 4*usual)
+}
+
+func (t *task) gap() clock.Millis {
+	if t.route.GapGoal == 0 || !t.route.Resumable {
+		return t.route.Timeout
+	}
+	return clock.Millis(gapGoals * float64(t.route.GapGoal))
+}
+
+// broken fills in the end of an attempt that brought no answer.
+func (t *task) broken(ctx context.Context, r *run, end *attempt.End, err error) {
+	kind := fault.KindOf[Kind](err)
+	t.logger.Info("attempt-broken", "request", t.request.ID, "endpoint", r.state.Endpoint.ID, "kind", kind,
+		"ms", int64(t.clock.Mono()-r.sentAt), "error", err)
+	switch kind {
+	case KindNotSent:
+		end.Sent = attempt.SentNothing
+		end.Result = attempt.ResultBroken
+		t.endpoints.lost(r.state, kind)
+	case KindSilent:
+		t.runs++
+		end.Result = attempt.ResultSilent
+		if t.endpoints.lastHeard(r.state) < r.sentAt {
+			t.endpoints.lost(r.state, kind)
+		}
+		r.rate(true)
+	case KindCanceled:
+		t.runs++
+		end.Result = attempt.ResultSilent
+	default:
+		t.runs++
+		end.Result = attempt.ResultBroken
+		r.rate(true)
+		t.investigate(ctx, r.state)
+	}
+	end.Another = t.another(end)
+}
+
+// investigate asks whether an endpoint died under the request, which makes the
+// request a suspect.
+func (t *task) investigate(ctx context.Context, s *placement.State) {
+	digest, e := t.digest, s.Endpoint
+	go func() {
+		if t.parts.Sender.Alive(context.WithoutCancel(ctx), e) {
+			return
+		}
+		t.endpoints.lost(s, KindBroken)
+		if digest != "" {
+			t.parts.Relay.Suspect(quarantine.Suspicion{Digest: digest, Crash: crash(e)})
+		}
+	}()
+}
+
+func crash(e *catalog.Endpoint) quarantine.Crash {
+	return quarantine.Crash(string(e.ID) + "/" + e.Born.Time().Format("150405.000"))
+}
+
+// another reports whether attempts, time and budget allow one more.
+func (t *task) another(end *attempt.End) bool {
+	if t.clock.Mono()+leastLeft > t.deadline || t.sends >= t.route.Attempts+extraSends {
+		return false
+	}
+	if t.runs >= t.route.Attempts {
+		return false
+	}
+	return end.Sent == attempt.SentNothing || t.endpoints.hasRetry(t.service.Name)
+}
+
+// unsure reports whether a larger model should answer instead, and has room.
+func (t *task) unsure(answer *Answer) bool {
+	ladder := t.route.Ladder
+	if t.model == "" || t.begun || len(ladder) == 0 || t.model == ladder[len(ladder)-1] {
+		return false
+	}
+	larger := ladder[len(ladder)-1]
+	q := t.query()
+	q.Tried = nil
+	room := t.endpoints.peek(t.view, t.service, q)
+	if room.State == nil || t.runs >= t.route.Attempts || !t.endpoints.hasRetry(t.service.Name) {
+		return false
+	}
+	now := t.clock.Mono()
+	doubt := cascade.Doubt{
+		Confidence: answer.Confidence,
+		Fill:       1 - float64(room.Free)/float64(max(1, room.Slots)),
+		Left:       min(t.deadline, t.request.Began+t.route.Goal) - now,
+		Expected:   t.endpoints.expected(delayKey{t.route.Name, larger}),
+	}
+	return doubt.Escalate()
+}
+
+// follow takes the step after an attempt; done is true at the request's end.
+func (t *task) follow(ctx context.Context, end attempt.End, r *run) (Result, bool) {
+	if ctx.Err() != nil {
+		r.close()
+		return Result{Reason: ReasonGone, Own: true, Cut: t.begun}, true
+	}
+	step := attempt.Next(end)
+	switch step {
+	case attempt.StepDeliver:
+		return t.deliver(ctx, r)
+	case attempt.StepPass:
+		answer := r.answer
+		return Result{Status: answer.Status, Header: answer.Header, Body: answer.Body, Reason: ReasonFailed}, true
+	case attempt.StepEscalate:
+		r.rate(false)
+		r.close()
+		t.logger.Info("escalate", "request", t.request.ID, "endpoint", r.state.Endpoint.ID, "model", t.model, "confidence", r.answer.Confidence)
+		t.model = t.route.Ladder[len(t.route.Ladder)-1]
+		t.tried = nil
+		t.endpoints.takeRetry(t.service.Name)
+		return Result{}, false
+	case attempt.StepRepeat, attempt.StepResume:
+		t.endpoints.takeRetry(t.service.Name)
+		t.parts.Scope.Counter(string(step)).Inc(1)
+		t.logger.Info(string(step), "request", t.request.ID, "endpoint", r.state.Endpoint.ID, "result", end.Result, "sent", end.Sent,
+			"after", t.after, "runs", t.runs)
+		return Result{}, false
+	case attempt.StepRefuse:
+		return own(http.StatusServiceUnavailable, ReasonFull, shortPause), true
+	case attempt.StepCut:
+		return Result{Reason: ReasonCut, Cut: true}, true
+	}
+	if t.clock.Mono() >= t.deadline-leastLeft {
+		return own(http.StatusGatewayTimeout, ReasonLate, 0), true
+	}
+	return own(http.StatusBadGateway, ReasonUnknown, 0), true
+}
+
+// deliver hands an answer to the caller; a stream that breaks may go on elsewhere.
+func (t *task) deliver(ctx context.Context, r *run) (Result, bool) {
+	answer := r.answer
+	t.releases.remember(t.sessionKey(), r.state.Endpoint.Release)
+	if answer.Next == nil {
+		r.rate(false)
+		r.end()
+		if t.digest != "" {
+			t.parts.Relay.Clear(t.digest)
+		}
+		return Result{Status: answer.Status, Header: answer.Header, Body: answer.Body, Reason: ReasonServed}, true
+	}
+	if !t.begun {
+		t.begun = true
+		t.release = r.state.Endpoint.Release
+		t.weights = answer.Weights
+		t.reply.Begin(answer.Status, answer.Header)
+	}
+	err := t.pump(answer, r.state)
+	if err == nil {
+		r.rate(false)
+		r.close()
+		if t.digest != "" {
+			t.parts.Relay.Clear(t.digest)
+		}
+		return Result{Reason: ReasonServed}, true
+	}
+	r.close()
+	if ctx.Err() != nil || errors.Is(err, errCaller) {
+		return Result{Reason: ReasonGone, Own: true, Cut: true}, true
+	}
+	end := attempt.End{Sent: attempt.SentSome, Repeatable: t.repeatable(), Resumable: t.route.Resumable, Begun: true, RanBefore: true}
+	t.runs-- // broken counts it again
+	t.broken(ctx, r, &end, err)
+	return t.follow(ctx, end, r)
+}
+
+// errCaller marks a failed write to the caller.
+var errCaller = errors.New("the caller does not take the answer")
+
+// pump passes events on as they come until the stream's proper end.
+func (t *task) pump(answer *Answer, s *placement.State) error {
+	for {
+		event, err := answer.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		t.endpoints.touched(s)
+		if err := t.reply.Write(event.Raw); err != nil {
+			return errCaller
+		}
+		if event.ID != "" {
+			t.after = event.ID
+		}
+	}
+}
+
+// run is one attempt that reached an endpoint.
+type run struct {
+	task    *task
+	state   *placement.State
+	answer  *Answer
+	key     delayKey
+	sentAt  clock.Millis
+	reading bool
+	ended   bool
+	rated   bool
+	slow    bool
+}
+
+// first notes the answer's head.
+func (r *run) first() {
+	t := r.task
+	now := t.clock.Mono()
+	if t.firstAt == 0 {
+		t.firstAt = now
+	}
+	t.endpoints.begun(r.state, t.request.Parts, &r.reading)
+	fresh := now-r.state.Since < settleSpan
+	r.slow = t.endpoints.delay(r.state, r.key, now-r.sentAt, t.arm != ArmNew && !fresh) && !fresh
+}
+
+// settleSpan is how long a new endpoint may be slow.
+const settleSpan = 4 * clock.Second
+
+// rate counts the run for its endpoint and, during an order, for its release.
+func (r *run) rate(failed bool) {
+	if r.rated {
+		return
+	}
+	r.rated = true
+	t := r.task
+	t.endpoints.rate(r.state, t.service.Name, failed)
+	if t.progress == nil || t.progress.outcome != registry.OutcomeRunning {
+		return
+	}
+	arm := evidence.ArmFrom
+	if r.state.Endpoint.Release == t.progress.order.Target {
+		arm = evidence.ArmTo
+	}
+	t.parts.Relay.Rate(Series(t.progress.order, t.route.Name, arm), !failed && !r.slow)
+}
+
+// Series names the evidence on one arm of an order for one route.
+func Series(order *catalog.Order, route catalog.RouteName, arm evidence.Arm) evidence.Series {
+	s := evidence.RolloutSeries(ticket.RolloutName(order.Service), ticket.Number(order.Number), arm)
+	s.Class = ticket.Class(route)
+	return s
+}
+
+// end takes the run off its endpoint.
+func (r *run) end() {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	r.task.endpoints.ended(r.state, r.task.request.Parts, &r.reading)
+}
+
+// close ends the attempt at the endpoint too.
+func (r *run) close() {
+	if r.answer != nil {
+		r.answer.Close()
+	}
+	r.end()
+}
--- /dev/null
+++ b/entry/relay/members.go
@@ -0,0 +1,158 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"foxtailbridge/entry/registry"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/evidence"
+	"foxtailbridge/policy/routing"
+	"foxtailbridge/policy/ticket"
+)
+
+const (
+	// aliveSpan is how long a member counts as alive after it was last heard of:
+	// three times the period at which member lists go round.
+	aliveSpan = 5 * clock.Second
+	// countSpan is how long a member still counts for the parts of fleet limits.
+	countSpan = 30 * clock.Second
+	// forgetSpan is when a silent member is dropped.
+	forgetSpan = 2 * clock.Minute
+)
+
+// peer is what is known of another instance.
+type peer struct {
+	member Member
+	heard  clock.Millis
+	// heads is what the peer said last of what it knows.
+	heads map[registry.Feed]registry.Offset
+	// have is our stamp that the peer has merged; merged is its stamp that we have.
+	have   evidence.Stamp
+	merged evidence.Stamp
+	// retry is when the peer may be asked again after a failure.
+	retry   clock.Millis
+	failing bool
+	leaving bool
+}
+
+// members is the set of known instances. Its methods take the lock.
+type members struct {
+	mu    sync.Mutex
+	self  Member
+	peers map[string]*peer
+	// fresh is true while the peers have not been told of a new member.
+	fresh bool
+}
+
+func newMembers(self Member) *members {
+	return &members{self: self, peers: map[string]*peer{}}
+}
+
+// learn notes that a member was heard of the given age ago.
+func (m *members) learn(h Heard, now clock.Millis) *peer {
+	if h.Name == m.self.Name || h.Name == "" {
+		return nil
+	}
+	p := m.peers[h.Name]
+	if p == nil {
+		p = &peer{member: h.Member, heard: now - h.Age}
+		m.peers[h.Name] = p
+		m.fresh = true
+		return p
+	}
+	if at := now - h.Age; at > p.heard {
+		p.heard = at
+		if p.member.Run != h.Run {
+			*p = peer{member: h.Member, heard: at}
+			m.fresh = true
+		}
+	}
+	return p
+}
+
+func (m *members) alive(p *peer, now clock.Millis) bool {
+	return now-p.heard < aliveSpan && !p.leaving
+}
+
+// ranked returns the live members of a zone in the order in which they take duties.
+func (m *members) ranked(zone ticket.ZoneName, now clock.Millis) []Member {
+	var list []Member
+	if m.self.Zone == zone {
+		list = append(list, m.self)
+	}
+	for _, p := range m.peers {
+		if p.member.Zone == zone && m.alive(p, now) && !p.failing {
+			list = append(list, p.member)
+		}
+	}
+	key := xxhash.Sum64String(string(zone))
+	slices.SortFunc(list, func(a, b Member) int {
+		return cmp.Compare(routing.Weight(key, b.Name), routing.Weight(key, a.Name))
+	})
+	return list
+}
+
+// rank returns this instance's place in its zone.
+func (m *members) rank(now clock.Millis) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.IndexFunc(m.ranked(m.self.Zone, now), func(x Member) bool { return x.Name == m.self.Name })
+}
+
+// fleetRank returns this instance's place among all live instances.
+func (m *members) fleetRank(key uint64, now clock.Millis) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own := routing.Weight(key, m.self.Name)
+	rank := 0
+	for _, p := range m.peers {
+		if m.alive(p, now) && routing.Weight(key, p.member.Name) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// count returns how many instances may use a part of the fleet's limits.
+func (m *members) count(now clock.Millis) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 1
+	for name, p := range m.peers {
+		switch {
+		case now-p.heard < countSpan:
+			n++
+		case now-p.heard > forgetSpan:
+			delete(m.peers, name)
+		}
+	}
+	return n
+}
+
+// zones returns the zones of the live peers other than this instance's.
+func (m *members) zones(now clock.Millis) []ticket.ZoneName {
+	var list []ticket.ZoneName
+	for _, p := range m.peers {
+		z := p.member.Zone
+		if z != m.self.Zone && m.alive(p, now) && !slices.Contains(list, z) {
+			list = append(list, z)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// list returns all members with their ages.
+func (m *members) list(now clock.Millis) []Heard {
+	list := []Heard{{Member: m.self}}
+	for _, p := range m.peers {
+		if now-p.heard < countSpan {
+			list = append(list, Heard{Member: p.member, Age: now - p.heard})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/link/socket/doc.go
@@ -0,0 +1,2 @@
+// Package socket opens TCP channels that notice a silent peer.
+package socket
--- /dev/null
+++ b/link/telemetry/queue.go
@@ -0,0 +1,51 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+)
+
+// queueLines bounds the log lines that wait to be written.
+const queueLines = 2048
+
+// Queue is a writer that never blocks: lines that find it full are dropped and
+// counted.
+type Queue struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+}
+
+// NewQueue returns a Queue in front of the output.
+func NewQueue(output io.Writer) *Queue {
+	q := &Queue{lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	go q.drain(output)
+	return q
+}
+
+// Write queues one line.
+func (q *Queue) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- append([]byte(nil), line...):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func (q *Queue) drain(output io.Writer) {
+	defer close(q.done)
+	for line := range q.lines {
+		if n := q.dropped.Swap(0); n > 0 {
+			_, _ = fmt.Fprintf(output, "[WARN] log-lines-dropped: count=%d\n", n)
+		}
+		_, _ = output.Write(line) // There is nowhere else to tell of a failure.
+	}
+}
+
+// Close writes what is queued; nothing may be written afterwards.
+func (q *Queue) Close() {
+	close(q.lines)
+	<-q.done
+}
--- /dev/null
+++ b/policy/catalog/catalog.go
@@ -0,0 +1,280 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/routing"
+	"foxtailbridge/policy/ticket"
+)
+
+// Names and numbers of a catalog.
+type (
+	// RouteName identifies a route.
+	RouteName string
+	// Revision numbers configurations; it only grows.
+	Revision int64
+	// Release names the software version that an endpoint runs.
+	Release string
+	// Rank orders requests by urgency; 0 is the most urgent.
+	Rank int
+	// Key is a caller's API key.
+	Key string
+)
+
+// Repeat says what may be repeated of a request.
+type Repeat string
+
+// Repeat rules.
+const (
+	// RepeatFreely allows any number of runs.
+	RepeatFreely Repeat = "freely"
+	// RepeatNever allows one run.
+	RepeatNever Repeat = "never"
+)
+
+// Model is one size of a model that a service offers.
+type Model struct {
+	Name ticket.ModelName
+	// Cost is the price of 1,000 generated tokens; read tokens count a quarter.
+	Cost float64
+}
+
+// Service is a pool of endpoints that run the same software.
+type Service struct {
+	Name ticket.ServiceName
+	// HealthPath answers whether an endpoint considers itself healthy.
+	HealthPath string
+	// MaxConnections bounds the channels of all machines to one endpoint.
+	MaxConnections int
+	// ColdSpan is how long an endpoint stays cold after its start.
+	ColdSpan clock.Millis
+	// ColdRate is how many requests a cold endpoint bears in a second.
+	ColdRate float64
+	// Engine describes batched engines, or is nil for a plain service.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Memory is the number of tokens that running and cached prompts share.
+	Memory int
+	Models []Model
+}
+
+// Weighted is one service of a split route.
+type Weighted struct {
+	Service ticket.ServiceName
+	Weight  int
+}
+
+// Route is one kind of request.
+type Route struct {
+	Name   RouteName
+	Host   string
+	Prefix string
+	// Split lists the services that may run the route; a plain route has one.
+	Split []Weighted
+	// Stream is true if the answer is a series of events.
+	Stream bool
+	Repeat Repeat
+	// Resumable allows a stream to go on at another endpoint.
+	Resumable bool
+	// Timeout bounds how long a caller is kept waiting.
+	Timeout clock.Millis
+	// Goal is the time to the first byte that earns the full credit.
+	Goal clock.Millis
+	// GapGoal is the longest pause between events that is still in time.
+	GapGoal clock.Millis
+	// Attempts bounds the endpoints that may run one request.
+	Attempts int
+	Rank     Rank
+	// Public routes need no API key.
+	Public bool
+	// Ladder lists the models to choose from, smallest first.
+	Ladder []ticket.ModelName
+}
+
+// Service returns the service that runs a request of the given hash.
+func (r *Route) Service(hash uint64) ticket.ServiceName {
+	total := 0
+	for _, w := range r.Split {
+		total += w.Weight
+	}
+	if total <= 0 {
+		if len(r.Split) == 0 {
+			return ""
+		}
+		return r.Split[0].Service
+	}
+	at := int(hash % uint64(total))
+	for _, w := range r.Split {
+		if at < w.Weight {
+			return w.Service
+		}
+		at -= w.Weight
+	}
+	return r.Split[0].Service
+}
+
+// Workspace is a tenant of the installation.
+type Workspace struct {
+	Name ticket.WorkspaceName
+	// Rank overrides the route's rank if HasRank is true.
+	Rank    Rank
+	HasRank bool
+	Keys    []Key
+}
+
+// Limits bound what a caller may send and how long it may stay idle.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int
+	HeaderWait  clock.Millis
+	IdleWait    clock.Millis
+}
+
+// Config is one configuration of the operator.
+type Config struct {
+	Revision Revision
+	Limits   Limits
+	// Keyed is true if requests need an API key.
+	Keyed    bool
+	Services map[ticket.ServiceName]*Service
+
+	byHost map[string][]*Route
+	byKey  map[Key]*Workspace
+}
+
+// NewConfig indexes routes and workspaces.
+func NewConfig(revision Revision, routes []*Route, services []*Service, workspaces []*Workspace, keyed bool, limits Limits) *Config {
+	c := &Config{
+		Revision: revision,
+		Limits:   limits,
+		Keyed:    keyed,
+		Services: map[ticket.ServiceName]*Service{},
+		byHost:   map[string][]*Route{},
+		byKey:    map[Key]*Workspace{},
+	}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+	for _, list := range c.byHost {
+		slices.SortFunc(list, func(a, b *Route) int {
+			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Prefix, b.Prefix))
+		})
+	}
+	for _, s := range services {
+		c.Services[s.Name] = s
+	}
+	for _, w := range workspaces {
+		for _, key := range w.Keys {
+			c.byKey[key] = w
+		}
+	}
+	return c
+}
+
+// Match returns the route of the longest prefix for a host and path, or nil.
+func (c *Config) Match(host, path string) *Route {
+	host = strings.ToLower(host)
+	if name, _, found := strings.Cut(host, ":"); found {
+		host = name
+	}
+	for _, r := range c.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Workspace returns the workspace that holds a key, or nil.
+func (c *Config) Workspace(key Key) *Workspace {
+	return c.byKey[key]
+}
+
+// Endpoint is a registered endpoint. A new start under an old id is a new endpoint.
+type Endpoint struct {
+	ID routing.EndpointID
+	// Born is the Unix time of its start.
+	Born    clock.Millis
+	Service ticket.ServiceName
+	Address string
+	Zone    ticket.ZoneName
+	Release Release
+	Slots   int
+	// Leaving is true once it asked for no more work.
+	Leaving bool
+	// Cold is how much longer it said to stay cold when it wrote the entry.
+	Cold clock.Millis
+	// Sequence counts the entries of this start.
+	Sequence int64
+}
+
+// Same reports whether the other entry says the same, apart from its sequence.
+func (e *Endpoint) Same(other *Endpoint) bool {
+	a, b := *e, *other
+	a.Sequence, b.Sequence = 0, 0
+	return a == b
+}
+
+// OrderNumber identifies one roll-out order by the offset of its record.
+type OrderNumber int64
+
+// Order asks to move a service's traffic to another release.
+type Order struct {
+	Number  OrderNumber
+	Service ticket.ServiceName
+	Target  Release
+	// Span is the time that the operator gives, from the order on.
+	Span clock.Millis
+	// Seen is the monotonic time at which this machine puts the order's start.
+	Seen clock.Millis
+}
+
+// View is what a machine knows; it is never changed once built.
+type View struct {
+	Config    *Config
+	Endpoints map[ticket.ServiceName][]*Endpoint
+	Orders    map[ticket.ServiceName]*Order
+	// Out holds the zones whose endpoints get nothing new.
+	Out map[ticket.ZoneName]bool
+	// Chilled holds until when a zone's endpoints count as cold because the
+	// zone was out.
+	Chilled map[ticket.ZoneName]clock.Millis
+}
+
+// Holds reports whether the view lists the endpoint as usable: registered,
+// not leaving, and in a zone that takes work.
+func (v *View) Holds(e *Endpoint) bool {
+	if v.Out[e.Zone] {
+		return false
+	}
+	for _, listed := range v.Endpoints[e.Service] {
+		if listed.ID == e.ID {
+			return listed.Born == e.Born && listed.Address == e.Address && !listed.Leaving
+		}
+	}
+	return false
+}
+
+// RoutesOf returns the names of the routes that a service may run.
+func (c *Config) RoutesOf(service ticket.ServiceName) []RouteName {
+	var names []RouteName
+	if c == nil {
+		return nil
+	}
+	for _, list := range c.byHost {
+		for _, r := range list {
+			if slices.ContainsFunc(r.Split, func(w Weighted) bool { return w.Service == service }) {
+				names = append(names, r.Name)
+			}
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/policy/placement/placement.go
@@ -0,0 +1,213 @@
+package placement
+
+import (
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+
+	"foxtailbridge/policy/catalog"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/routing"
+	"foxtailbridge/policy/ticket"
+)
+
+// Query asks for an endpoint.
+type Query struct {
+	Now  clock.Millis
+	Zone ticket.ZoneName
+	// Parts are the prompt's parts in order; the last is the request's own.
+	Parts []Part
+	// Size is the number of bytes that would cross zones.
+	Size int
+	// Accept filters endpoints, by view and release.
+	Accept func(*catalog.Endpoint) bool
+	// Tried holds endpoints that must not get the request again.
+	Tried []*State
+	// ColdRate is this machine's part of the rate that a cold endpoint bears, in 1/s.
+	ColdRate float64
+	// Patience is the fill up to which the request may queue at an endpoint.
+	Patience float64
+	// Risky allows an endpoint that was out of reach and has not answered since.
+	Risky bool
+}
+
+// Choice is the outcome of a query.
+type Choice struct {
+	State  *State
+	Reason routing.Reason
+	// Cost is the estimated delay of the choice in milliseconds.
+	Cost float64
+	// Considered counts the endpoints that were accepted.
+	Considered int
+	// Free is the number of free slots at accepted endpoints.
+	Free int
+	// Slots is the number of slots at accepted endpoints.
+	Slots int
+	// Waiting is the number of requests that wait at accepted endpoints.
+	Waiting int
+}
+
+const (
+	// readRate is the prompt tokens that an engine reads in a millisecond, for
+	// weighing; engines of the installations read 30 to 110.
+	readRate = 60.0
+	// homeTrust is the chance that the endpoint where all machines send a part has it.
+	homeTrust = 0.7
+	// fillCost is the delay that a full endpoint adds over an empty one.
+	fillCost = 120.0
+	// crowdFill is the fill from which each further request is dear.
+	crowdFill = 0.75
+	// crowdCost is the delay added for each full endpoint's worth above crowdFill.
+	crowdCost = 2500.0
+	// zoneCost is the delay that another zone counts for, byteCost for each KB sent there.
+	zoneCost = 6.0
+	byteCost = 0.4
+	// failCost is the delay that an endpoint failing all runs counts for.
+	failCost = 4000.0
+	// delayCost is the delay of an endpoint that takes twice as long as its peers.
+	delayCost = 150.0
+	// coldCost is the delay that a cold endpoint counts for.
+	coldCost = 60.0
+	// coldBurst is how many requests a machine sends a cold endpoint at once.
+	coldBurst = 1.0
+	// jitter is the random part of a cost, which parts machines that know the same.
+	jitter = 12.0
+	// riskCost is the delay that an endpoint out of reach a moment ago counts for.
+	riskCost = 400.0
+)
+
+// Choose returns the endpoint with the least estimated delay.
+func Choose(states []*State, q *Query, random *rand.Rand) Choice {
+	best := Choice{Reason: routing.ReasonNoEndpoint}
+	home := q.home(states)
+	for _, s := range states {
+		if !q.Accept(s.Endpoint) {
+			continue
+		}
+		best.Considered++
+		occupied := s.Occupied(q.Now)
+		if !s.Down(q.Now) {
+			best.Slots += s.Endpoint.Slots
+			best.Free += max(0, s.Endpoint.Slots-occupied)
+			best.Waiting += s.Waiting(q.Now)
+		}
+		if reason := q.verdict(s); reason != routing.Permitted {
+			if best.State == nil {
+				best.Reason = reason
+			}
+			continue
+		}
+		cost := q.cost(s, s == home) + jitter*random.Float64()
+		if best.State == nil || cost < best.Cost {
+			best.State, best.Cost, best.Reason = s, cost, reasonFor(s, home, len(q.Parts))
+		}
+	}
+	return best
+}
+
+func reasonFor(s, home *State, parts int) routing.Reason {
+	if s == home && parts > 1 {
+		return routing.ReasonPrefix
+	}
+	return ReasonLeastDelay
+}
+
+// ReasonLeastDelay means that the endpoint adds the least estimated delay.
+const ReasonLeastDelay routing.Reason = "least-delay"
+
+func (q *Query) verdict(s *State) routing.Reason {
+	for _, tried := range q.Tried {
+		if tried == s {
+			return routing.ReasonTriedBefore
+		}
+	}
+	switch {
+	case s.Down(q.Now):
+		return routing.ReasonDown
+	case s.misses > 0 && !q.Risky:
+		return routing.ReasonDown
+	case s.Fill(q.Now) >= q.Patience:
+		return routing.ReasonFull
+	case s.Cold(q.Now) && !s.cold.Has(q.ColdRate, coldBurst, q.Now):
+		return routing.ReasonCold
+	}
+	return routing.Permitted
+}
+
+// Begin counts a request that is about to be sent, and reports whether a cold
+// endpoint may have it.
+func (q *Query) Begin(s *State) bool {
+	if s.Cold(q.Now) && !s.cold.Take(q.ColdRate, coldBurst, q.Now) {
+		return false
+	}
+	s.Own++
+	s.Reading += Tokens(q.Parts)
+	return true
+}
+
+// Tokens sums the tokens of the parts.
+func Tokens(parts []Part) int {
+	sum := 0
+	for _, p := range parts {
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// shared returns the parts that other requests may share.
+func (q *Query) shared() []Part {
+	if len(q.Parts) == 0 {
+		return nil
+	}
+	return q.Parts[:len(q.Parts)-1]
+}
+
+// home is the endpoint to which every machine sends the last shared part.
+func (q *Query) home(states []*State) *State {
+	shared := q.shared()
+	if len(shared) == 0 {
+		return nil
+	}
+	key := xxhash.Sum64String(string(shared[len(shared)-1].ID))
+	var best *State
+	var bestWeight uint64
+	for _, s := range states {
+		if s.Down(q.Now) || s.Cold(q.Now) || !q.Accept(s.Endpoint) {
+			continue
+		}
+		if w := routing.Weight(key, string(s.Endpoint.ID)); best == nil || w > bestWeight {
+			best, bestWeight = s, w
+		}
+	}
+	return best
+}
+
+func (q *Query) cost(s *State, home bool) float64 {
+	shared := q.shared()
+	unread := float64(Tokens(q.Parts))
+	if kept := s.kept(shared, q.Now); kept > 0 {
+		unread -= float64(kept)
+	} else if home {
+		unread -= homeTrust * float64(Tokens(shared))
+	}
+	fill := s.Fill(q.Now)
+	cost := (unread + float64(s.Reading)) / readRate
+	cost += fillCost * fill
+	if fill > crowdFill {
+		cost += crowdCost * (fill - crowdFill)
+	}
+	if s.Endpoint.Zone != q.Zone {
+		cost += zoneCost + byteCost*float64(q.Size)/1024
+	}
+	cost += failCost * s.Excess
+	if s.Delay.Count > 2 && s.Delay.Mean > 1 {
+		cost += delayCost * (s.Delay.Mean - 1)
+	}
+	if s.Cold(q.Now) {
+		cost += coldCost
+	}
+	if s.misses > 0 {
+		cost += riskCost
+	}
+	return cost
+}
--- /dev/null
+++ b/policy/placement/state.go
@@ -0,0 +1,178 @@
+package placement
+
+import (
+	"foxtailbridge/policy/catalog"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/share"
+)
+
+// PartID identifies one part of a prompt.
+type PartID string
+
+// Part is one part of a prompt; parts before it belong to what is cached of it.
+type Part struct {
+	ID     PartID
+	Tokens int
+}
+
+// Load is an endpoint's own word on its load.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// State is what one machine knows of one endpoint. It is not safe for concurrent use.
+type State struct {
+	Endpoint *catalog.Endpoint
+	// Own is the number of this machine's requests there.
+	Own int
+	// Reading is the number of prompt tokens sent there whose answer has not begun.
+	Reading int
+	// ColdUntil is when the endpoint has warmed up.
+	ColdUntil clock.Millis
+	// Since is when this machine first saw the endpoint.
+	Since clock.Millis
+	// LastHeard is when any byte last came from the endpoint.
+	LastHeard clock.Millis
+	// Failures is the moving share of runs that failed for no fault of the request.
+	Failures Average
+	// Excess is how far Failures lies above what its peers show.
+	Excess float64
+	// Delay is the moving ratio of its time to the first byte to that of its peers.
+	Delay Average
+
+	cold        share.Bucket
+	load        Load
+	loadAt      clock.Millis
+	ownAtReport int
+	downUntil   clock.Millis
+	misses      int
+	parts       map[PartID]clock.Millis
+}
+
+const (
+	// loadMemory is how long a reported load counts.
+	loadMemory = 2 * clock.Second
+	// firstPause is how long an endpoint is left alone after it could not be
+	// reached; the pause doubles up to maxPause.
+	firstPause = 400 * clock.Millis(1)
+	maxPause   = 3200 * clock.Millis(1)
+	// partsKept bounds the prompt parts remembered for an endpoint.
+	partsKept = 256
+	// partMemory is how long a part is taken to stay cached.
+	partMemory = 20 * clock.Second
+	// averageSpan is how many runs a moving average looks back on.
+	averageSpan = 12
+)
+
+// Average is a moving mean; its zero value knows nothing.
+type Average struct {
+	Mean  float64
+	Count int
+}
+
+// Add takes one observation.
+func (a *Average) Add(value float64) {
+	a.Count++
+	weight := 1 / float64(min(a.Count, averageSpan))
+	a.Mean += weight * (value - a.Mean)
+}
+
+// NewState returns a State for an endpoint first seen at the time.
+func NewState(e *catalog.Endpoint, now clock.Millis) *State {
+	return &State{Endpoint: e, Since: now, LastHeard: now, parts: map[PartID]clock.Millis{}}
+}
+
+// Cold reports whether the endpoint is still warming up.
+func (s *State) Cold(now clock.Millis) bool {
+	return now < s.ColdUntil
+}
+
+// Down reports whether the endpoint is left alone because it could not be reached.
+func (s *State) Down(now clock.Millis) bool {
+	return now < s.downUntil
+}
+
+// Fail notes that the endpoint could not be reached or fell silent.
+func (s *State) Fail(now clock.Millis) {
+	pause := min(maxPause, firstPause<<min(s.misses, 8))
+	s.misses++
+	s.downUntil = now + pause
+}
+
+// Hear notes that the endpoint answered; it reports whether it had been out of reach.
+func (s *State) Hear(now clock.Millis) bool {
+	was := s.misses > 0
+	s.LastHeard = now
+	s.misses = 0
+	s.downUntil = 0
+	return was
+}
+
+// Report takes the endpoint's word on its load.
+func (s *State) Report(load Load, now clock.Millis) {
+	s.load = load
+	s.loadAt = now
+	s.ownAtReport = s.Own
+}
+
+// Occupied estimates the running and waiting requests at the endpoint.
+func (s *State) Occupied(now clock.Millis) int {
+	if now-s.loadAt > loadMemory {
+		return s.Own
+	}
+	others := max(0, s.load.Running+s.load.Waiting-s.ownAtReport)
+	return s.Own + others
+}
+
+// Waiting returns the waiting requests that the endpoint last told of.
+func (s *State) Waiting(now clock.Millis) int {
+	if now-s.loadAt > loadMemory {
+		return 0
+	}
+	return s.load.Waiting
+}
+
+// Fill returns the occupied share of slots; it may exceed 1.
+func (s *State) Fill(now clock.Millis) float64 {
+	return float64(s.Occupied(now)) / float64(max(1, s.Endpoint.Slots))
+}
+
+// Keep remembers that the endpoint has read the parts.
+func (s *State) Keep(parts []Part, now clock.Millis) {
+	for _, p := range parts {
+		s.parts[p.ID] = now
+	}
+	if len(s.parts) > partsKept {
+		for id, at := range s.parts {
+			if now-at > partMemory/2 {
+				delete(s.parts, id)
+			}
+		}
+	}
+	for id := range s.parts {
+		if len(s.parts) <= partsKept {
+			break
+		}
+		delete(s.parts, id)
+	}
+}
+
+// Forget drops all remembered parts, after a restart of the endpoint.
+func (s *State) Forget() {
+	clear(s.parts)
+}
+
+// kept returns the tokens of the leading parts that the endpoint is known to have read.
+func (s *State) kept(parts []Part, now clock.Millis) int {
+	tokens := 0
+	for _, p := range parts {
+		at, ok := s.parts[p.ID]
+		if !ok || now-at > partMemory {
+			break
+		}
+		tokens += p.Tokens
+	}
+	return tokens
+}
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -29,8 +29,12 @@
 	VerdictQuarantined Verdict = "quarantined"
 )
 
-// crashLimit is how many endpoints a request may take down.
-const crashLimit = 2
+const (
+	// crashLimit is how many endpoints a request may take down.
+	crashLimit = 2
+	// sharedLimit is the same for crashes while other requests ran there too.
+	sharedLimit = 3
+)
 
 // Ledger is a grow-only set of suspicions; merging is commutative and idempotent.
 // It is not safe for concurrent use.
@@ -63,7 +67,8 @@
 }
 
 // Judge returns the verdict on a request. A request is quarantined after two
-// crashes of which at least one happened while it ran alone.
+// crashes of which at least one happened while it ran alone, or after three in
+// company: neighbours differ from one endpoint to the next.
 func (l *Ledger) Judge(digest Digest) Verdict {
 	crashes := l.suspicions[digest]
 	alone := 0
@@ -75,6 +80,8 @@
 	switch {
 	case alone > 0 && len(crashes) >= crashLimit:
 		return VerdictQuarantined
+	case len(crashes) >= sharedLimit && !l.cleared[digest]:
+		return VerdictQuarantined
 	case len(crashes) == 0:
 		return VerdictClear
 	case alone == 0 && l.cleared[digest]:
--- /dev/null
+++ b/policy/share/share.go
@@ -0,0 +1,112 @@
+package share
+
+import (
+	"foxtailbridge/policy/clock"
+)
+
+// Bucket lets through a rate of requests; it holds at most a burst. It is not
+// safe for concurrent use.
+type Bucket struct {
+	tokens float64
+	at     clock.Millis
+	begun  bool
+}
+
+// Take spends one token of a bucket that fills at the rate in 1/s, and reports
+// whether there was one.
+func (b *Bucket) Take(rate, burst float64, now clock.Millis) bool {
+	b.fill(rate, burst, now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Has reports whether Take would succeed.
+func (b *Bucket) Has(rate, burst float64, now clock.Millis) bool {
+	b.fill(rate, burst, now)
+	return b.tokens >= 1
+}
+
+func (b *Bucket) fill(rate, burst float64, now clock.Millis) {
+	if !b.begun {
+		b.begun = true
+		b.tokens = min(1, burst)
+		b.at = now
+	}
+	b.tokens = min(burst, b.tokens+rate*float64(now-b.at)/float64(clock.Second))
+	b.at = now
+}
+
+// slices is how many parts a sliding window is counted in.
+const slices = 10
+
+// Window counts events in a sliding span. It is not safe for concurrent use.
+type Window struct {
+	counts [slices]int
+	slot   int64
+}
+
+// Add counts one event.
+func (w *Window) Add(span, now clock.Millis) {
+	w.advance(span, now)
+	w.counts[w.slot%slices]++
+}
+
+// Sum returns the events of the last span.
+func (w *Window) Sum(span, now clock.Millis) int {
+	w.advance(span, now)
+	sum := 0
+	for _, count := range w.counts {
+		sum += count
+	}
+	return sum
+}
+
+func (w *Window) advance(span, now clock.Millis) {
+	slot := int64(now / max(1, span/slices))
+	if slot-w.slot >= slices {
+		w.counts = [slices]int{}
+		w.slot = slot
+		return
+	}
+	for w.slot < slot {
+		w.slot++
+		w.counts[w.slot%slices] = 0
+	}
+}
+
+// Retries bounds the runs beyond the first of each request to a share of the
+// requests and a slack, over a sliding span. It is not safe for concurrent use.
+type Retries struct {
+	// Ratio is the allowed repeats for each request.
+	Ratio float64
+	// Slack is this machine's part of what all machines may add to that.
+	Slack float64
+	// Span is the length of the window.
+	Span clock.Millis
+
+	requests Window
+	repeats  Window
+}
+
+// Note counts a request.
+func (r *Retries) Note(now clock.Millis) {
+	r.requests.Add(r.Span, now)
+}
+
+// Take counts a repeat and reports whether it is within the limit.
+func (r *Retries) Take(now clock.Millis) bool {
+	if !r.Has(now) {
+		return false
+	}
+	r.repeats.Add(r.Span, now)
+	return true
+}
+
+// Has reports whether Take would succeed.
+func (r *Retries) Has(now clock.Millis) bool {
+	allowed := r.Ratio*float64(r.requests.Sum(r.Span, now)) + r.Slack
+	return float64(r.repeats.Sum(r.Span, now)+1) <= allowed
+}
