--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -44,6 +44,10 @@
 	known   map[endpointKey]*placement.State
 	// delays holds the usual time to the first byte of each kind of work.
 	delays map[delayKey]*placement.Average
+	// pauses holds the usual time between events of each model.
+	pauses map[ticket.ModelName]*placement.Average
+	// sizes holds the mean size of each route's requests.
+	sizes map[catalog.RouteName]*placement.Average
 }
 
 type delayKey struct {
@@ -58,6 +62,8 @@
 		pools:     map[ticket.ServiceName]*pool{},
 		known:     map[endpointKey]*placement.State{},
 		delays:    map[delayKey]*placement.Average{},
+		pauses:    map[ticket.ModelName]*placement.Average{},
+		sizes:     map[catalog.RouteName]*placement.Average{},
 	}
 }
 
@@ -212,9 +218,7 @@
 	}
 	p := e.pool(service)
 	s.Failures.Add(value)
-	weight := 1 / float64(min(p.failures.Count+1, 200))
-	p.failures.Count++
-	p.failures.Mean += weight * (value - p.failures.Mean)
+	smooth(&p.failures, value, failureRuns)
 	s.Excess = 0
 	if s.Failures.Count >= excessRuns {
 		s.Excess = max(0, s.Failures.Mean-2*p.failures.Mean-excessFloor)
@@ -236,6 +240,9 @@
 	slowFloor  = 150.0
 	// usualRuns is how many runs make a usual delay.
 	usualRuns = 10
+	// delayRuns and failureRuns are how many runs those means look back on.
+	delayRuns   = 50
+	failureRuns = 200
 )
 
 // delay takes the time to the first byte of a run, and reports whether it was
@@ -253,9 +260,7 @@
 		s.Delay.Add(float64(span) / max(1, a.Mean))
 	}
 	if usual {
-		weight := 1 / float64(min(a.Count+1, 50))
-		a.Count++
-		a.Mean += weight * (float64(span) - a.Mean)
+		smooth(a, float64(span), delayRuns)
 	}
 	return slow
 }
@@ -270,11 +275,64 @@
 	return 0
 }
 
+// smooth moves a mean towards a value, by the weight of one of so many runs.
+func smooth(a *placement.Average, value float64, runs int) {
+	a.Count++
+	a.Mean += (value - a.Mean) / float64(min(a.Count, runs))
+}
+
+const (
+	// sizeRuns and pauseRuns are how many runs those means look back on.
+	sizeRuns  = 500
+	pauseRuns = 40
+)
+
 // note counts a request of a service.
-func (e *endpoints) note(service ticket.ServiceName) {
+func (e *endpoints) note(service ticket.ServiceName, route catalog.RouteName, size int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.pool(service).retries.Note(e.clock.Mono())
+	a := e.sizes[route]
+	if a == nil {
+		a = &placement.Average{}
+		e.sizes[route] = a
+	}
+	smooth(a, float64(size), sizeRuns)
+}
+
+// meanSize returns the mean size of a route's requests.
+func (e *endpoints) meanSize(route catalog.RouteName) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a := e.sizes[route]; a != nil {
+		return a.Mean
+	}
+	return 0
+}
+
+// paced takes the time that a number of events took.
+func (e *endpoints) paced(model ticket.ModelName, span clock.Millis, events int) {
+	if events < 2 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := e.pauses[model]
+	if a == nil {
+		a = &placement.Average{}
+		e.pauses[model] = a
+	}
+	smooth(a, float64(span)/float64(events), pauseRuns)
+}
+
+// pause returns the usual time between events of a model in milliseconds.
+func (e *endpoints) pause(model ticket.ModelName) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a := e.pauses[model]; a != nil {
+		return a.Mean
+	}
+	return 0
 }
 
 // takeRetry spends one repeat of this instance's part of the fleet's budget.
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -94,6 +94,8 @@
 	Left clock.Millis
 	// FirstBy bounds the wait for the answer's head.
 	FirstBy clock.Millis
+	// Waits is asked when FirstBy has passed, if it is set; true waits as long again.
+	Waits func() bool
 	// After is the event behind which a stream goes on, or "".
 	After EventID
 	// Weights is the version of the weights that must go on, or "".
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -77,7 +77,7 @@
 	if t.request.AnyModel && len(t.route.Ladder) > 0 {
 		t.model = t.route.Ladder[0]
 	}
-	t.endpoints.note(t.service.Name)
+	t.endpoints.note(t.service.Name, t.route.Name, t.size())
 	for {
 		choice := t.find()
 		if choice.State == nil {
@@ -245,15 +245,35 @@
 		Gap: t.gap(),
 	}
 	if t.repeatable() && t.sends <= t.route.Attempts-1 {
-		a.FirstBy = min(left, t.patience())
+		sent, limit := t.clock.Mono(), t.patience()
+		a.FirstBy = min(left, limit)
+		// An engine that answers others is busy with long prompts, not dead.
+		a.Waits = func() bool {
+			now := t.clock.Mono()
+			return t.route.Stream && now-sent < t.limit(limit) && now-t.endpoints.lastHeard(s) < limit
+		}
 	}
 	return a
 }
 
+const (
+	// slowRead is the prompt tokens that a busy engine reads in a millisecond.
+	slowRead = 8
+	// limitGoals is how many goals an answer's head may take at an engine that
+	// answers others.
+	limitGoals = 1.3
+)
+
+// limit is the longest wait for an answer's head at an engine that answers others.
+func (t *task) limit(patience clock.Millis) clock.Millis {
+	read := clock.Millis(placement.Tokens(t.request.Parts) / slowRead)
+	return max(patience, clock.Millis(limitGoals*float64(t.route.Goal))+read)
+}
+
 const (
 	// silenceGoals is how many goals an answer's head may take before a
 	// repeatable request is sent elsewhere.
-	silenceGoals = 0.6
+	silenceGoals = 0.4
 	// plainSilenceGoals is the same for plain requests, whose goal is short.
 	plainSilenceGoals = 2.5
 	// gapGoals is the part of the longest pause after which a stream goes on elsewhere.
@@ -339,7 +359,7 @@
 // unsure reports whether a larger model should answer instead, and has room.
 func (t *task) unsure(answer *Answer) bool {
 	ladder := t.route.Ladder
-	if t.model == "" || t.begun || len(ladder) == 0 || t.model == ladder[len(ladder)-1] {
+	if t.model == "" || t.begun || t.service.Engine == nil || len(ladder) == 0 || t.model == ladder[len(ladder)-1] {
 		return false
 	}
 	larger := ladder[len(ladder)-1]
@@ -350,15 +370,32 @@
 		return false
 	}
 	now := t.clock.Mono()
+	key := delayKey{t.route.Name, larger}
+	events := t.request.Write
+	if stride := t.service.Engine.Stride; stride > 0 {
+		events /= stride
+	}
 	doubt := cascade.Doubt{
 		Confidence: answer.Confidence,
+		Value:      cascade.Value(int(t.route.Rank), float64(t.size()), t.endpoints.meanSize(t.route.Name)),
+		Price:      cascade.Price(t.service.Engine.Cost(larger), placement.Tokens(t.request.Parts), t.request.Write),
 		Fill:       1 - float64(room.Free)/float64(max(1, room.Slots)),
 		Left:       min(t.deadline, t.request.Began+t.route.Goal) - now,
-		Expected:   t.endpoints.expected(delayKey{t.route.Name, larger}),
+		Expected:   t.endpoints.expected(key),
+		LeftWhole:  t.deadline - now,
+		Whole:      t.endpoints.expected(key) + clock.Millis(float64(events)*t.endpoints.pause(larger)),
 	}
 	return doubt.Escalate()
 }
 
+// writeWeight is how many read tokens a written one counts for in a request's size.
+const writeWeight = 10
+
+// size measures the request for what its answer is worth.
+func (t *task) size() int {
+	return placement.Tokens(t.request.Parts) + writeWeight*t.request.Write
+}
+
 // follow takes the step after an attempt; done is true at the request's end.
 func (t *task) follow(ctx context.Context, end attempt.End, r *run) (Result, bool) {
 	if ctx.Err() != nil {
@@ -401,6 +438,9 @@
 func (t *task) deliver(ctx context.Context, r *run) (Result, bool) {
 	answer := r.answer
 	t.releases.remember(t.sessionKey(), r.state.Endpoint.Release)
+	if t.firstAt == 0 {
+		t.firstAt = t.clock.Mono()
+	}
 	if answer.Next == nil {
 		r.rate(false)
 		r.end()
@@ -415,7 +455,7 @@
 		t.weights = answer.Weights
 		t.reply.Begin(answer.Status, answer.Header)
 	}
-	err := t.pump(answer, r.state)
+	err := t.pump(answer, r)
 	if err == nil {
 		r.rate(false)
 		r.close()
@@ -438,7 +478,9 @@
 var errCaller = errors.New("the caller does not take the answer")
 
 // pump passes events on as they come until the stream's proper end.
-func (t *task) pump(answer *Answer, s *placement.State) error {
+func (t *task) pump(answer *Answer, r *run) error {
+	began, events := t.clock.Mono(), 0
+	defer func() { t.endpoints.paced(r.key.model, t.clock.Mono()-began, events) }()
 	for {
 		event, err := answer.Next()
 		if errors.Is(err, io.EOF) {
@@ -447,7 +489,8 @@
 		if err != nil {
 			return err
 		}
-		t.endpoints.touched(s)
+		events++
+		t.endpoints.touched(r.state)
 		if err := t.reply.Write(event.Raw); err != nil {
 			return errCaller
 		}
@@ -474,9 +517,6 @@
 func (r *run) first() {
 	t := r.task
 	now := t.clock.Mono()
-	if t.firstAt == 0 {
-		t.firstAt = now
-	}
 	t.endpoints.begun(r.state, t.request.Parts, &r.reading)
 	fresh := now-r.state.Since < settleSpan
 	r.slow = t.endpoints.delay(r.state, r.key, now-r.sentAt, t.arm != ArmNew && !fresh) && !fresh
--- a/policy/cascade/confidence.go
+++ b/policy/cascade/confidence.go
@@ -1,6 +1,8 @@
 package cascade
 
 import (
+	"math"
+
 	"foxtailbridge/policy/clock"
 )
 
@@ -13,35 +15,77 @@
 // Doubt asks whether an answer should be made again by a larger model.
 type Doubt struct {
 	Confidence Confidence
+	// Value is what a good answer is worth, in the unit of Price.
+	Value float64
+	// Price is what the larger model costs for this request.
+	Price float64
 	// Fill is the occupied share of the endpoints that could run it, 0 to 1 and above.
 	Fill float64
-	// Left is the time until the answer counts as late.
+	// Left is the time until the answer is due to begin.
 	Left clock.Millis
 	// Expected is the time that the larger model takes to its first token.
 	Expected clock.Millis
+	// LeftWhole is the time until the whole answer is due, and Whole how long
+	// the larger model takes for it; 0 if that is not known.
+	LeftWhole clock.Millis
+	Whole     clock.Millis
 }
 
 const (
-	// calmThreshold is the confidence below which an answer is made again while
-	// the endpoints have room.
-	calmThreshold = 64
-	// fullThreshold is the same when they are full.
-	fullThreshold = 22
-	// calmFill and busyFill are the fills between which the threshold falls.
-	calmFill = 0.45
-	busyFill = 1.0
+	// evenConfidence is the confidence at which an answer is as likely poor as
+	// good, confidenceScale how fast that changes. Measured on the users'
+	// bench: answers below 40 hold most of the poor ones, above 60 hardly any.
+	evenConfidence  = 45.0
+	confidenceScale = 8.0
+	// loss is the part of its value that a poor answer lacks.
+	loss = 0.95
+	// shadowFill is the fill above which capacity is scarce, and shadowPrice
+	// how many times its price a run then costs others at full load.
+	shadowFill  = 0.5
+	shadowPrice = 4.0
 )
 
-// Threshold returns the confidence below which an answer is made again.
-func Threshold(fill float64) Confidence {
-	part := min(1, max(0, (fill-calmFill)/(busyFill-calmFill)))
-	return Confidence(calmThreshold - part*(calmThreshold-fullThreshold))
+// Poor returns the chance that an answer of this confidence is poor.
+func (c Confidence) Poor() float64 {
+	return 1 / (1 + math.Exp((float64(c)-evenConfidence)/confidenceScale))
 }
 
-// Escalate reports whether a larger model should answer instead.
+// Escalate reports whether a larger model should answer instead: whether what
+// the better answer adds is worth more than it costs, and it comes in time.
 func (d Doubt) Escalate() bool {
-	if d.Confidence == ConfidenceUnknown || d.Left < d.Expected {
+	if d.Confidence == ConfidenceUnknown || d.Left < d.Expected || d.LeftWhole < d.Whole {
 		return false
 	}
-	return d.Confidence < Threshold(d.Fill)
+	scarcity := 1 + shadowPrice*max(0, d.Fill-shadowFill)/(1-shadowFill)
+	return loss*d.Value*d.Confidence.Poor() > d.Price*scarcity
+}
+
+const (
+	// topValue is the worth of an answer of the most urgent rank, and rankFall
+	// what remains of it for each rank below: operators rank by worth.
+	topValue = 5.0
+	rankFall = 0.25
+	// sizeFloor is the part of an answer's worth that does not grow with its
+	// size, sizeCap the most that size can make of it.
+	sizeFloor = 0.3
+	sizeCap   = 4.0
+)
+
+// Value estimates what a good answer is worth from the rank of its route and
+// its size against the route's mean.
+func Value(rank int, size, mean float64) float64 {
+	factor := 1.0
+	if mean > 0 {
+		factor = min(sizeCap, sizeFloor+(1-sizeFloor)*size/mean)
+	}
+	return topValue * math.Pow(rankFall, float64(max(0, rank))) * factor
+}
+
+// readPart is the price of a read token as a part of that of a generated one.
+const readPart = 0.25
+
+// Price returns what a model of the given cost per 1,000 generated tokens takes
+// for a request.
+func Price(cost float64, read, write int) float64 {
+	return cost * (float64(write) + readPart*float64(read)) / 1000
 }
--- a/policy/catalog/catalog.go
+++ b/policy/catalog/catalog.go
@@ -61,9 +61,21 @@
 type Engine struct {
 	// Memory is the number of tokens that running and cached prompts share.
 	Memory int
+	// Stride is the number of tokens in an event of a stream.
+	Stride int
 	Models []Model
 }
 
+// Cost returns the price of 1,000 generated tokens of a model, or 0 if it is not known.
+func (e *Engine) Cost(model ticket.ModelName) float64 {
+	for _, m := range e.Models {
+		if m.Name == model {
+			return m.Cost
+		}
+	}
+	return 0
+}
+
 // Weighted is one service of a split route.
 type Weighted struct {
 	Service ticket.ServiceName
