--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -36,10 +36,13 @@
 	progress *progress
 	model    ticket.ModelName
 	tried    []*placement.State
-	// runs counts attempts that may have run, sends all that reached an endpoint.
+	// runs counts attempts that may have run at endpoints that still live, sends
+	// all that were tried.
 	runs  int
 	sends int
-	last  *placement.State
+	// ran is true once any attempt may have run.
+	ran  bool
+	last *placement.State
 	// release and weights bind a begun stream.
 	release catalog.Release
 	weights string
@@ -161,9 +164,9 @@
 	switch {
 	case t.begun:
 		return Result{Reason: ReasonCut, Cut: true}
-	case t.runs > 0 && late:
+	case t.ran && late:
 		return own(http.StatusGatewayTimeout, ReasonLate, 0)
-	case t.runs > 0:
+	case t.ran:
 		return own(http.StatusBadGateway, ReasonUnknown, 0)
 	case late:
 		return own(http.StatusServiceUnavailable, ReasonLate, shortPause)
@@ -196,13 +199,13 @@
 	t.last = s
 	t.sends++
 	t.tried = append(t.tried, s)
-	answer, err := t.parts.Sender.Send(ctx, t.outgoing(s))
+	answer, err := t.parts.Sender.Send(ctx, t.outgoing(ctx, s))
 	end := attempt.End{
 		Sent:       attempt.SentSome,
 		Repeatable: t.repeatable(),
 		Resumable:  t.route.Resumable,
 		Begun:      t.begun,
-		RanBefore:  t.runs > 0,
+		RanBefore:  t.ran,
 	}
 	if err != nil {
 		t.broken(ctx, r, &end, err)
@@ -221,12 +224,12 @@
 		}
 	case answer.Status >= http.StatusBadRequest:
 		end.Result = attempt.ResultFailed
-		t.runs++
+		t.count()
 		r.rate(answer.Status >= http.StatusInternalServerError)
 		end.Doubtful = t.endpoints.doubtful(s)
 		r.end()
 	default:
-		t.runs++
+		t.count()
 		end.Result = attempt.ResultAnswered
 		r.first()
 		if t.unsure(answer) {
@@ -237,7 +240,7 @@
 	return end, r
 }
 
-func (t *task) outgoing(s *placement.State) *Attempt {
+func (t *task) outgoing(ctx context.Context, s *placement.State) *Attempt {
 	left := t.deadline - t.clock.Mono()
 	a := &Attempt{
 		Request: t.request, Endpoint: s.Endpoint, Workspace: t.workspace, Rank: t.rank, Model: t.model,
@@ -250,7 +253,10 @@
 		// An engine that answers others is busy with long prompts, not dead.
 		a.Waits = func() bool {
 			now := t.clock.Mono()
-			return t.route.Stream && now-sent < t.limit(limit) && now-t.endpoints.lastHeard(s) < limit
+			if !t.route.Stream || now-sent >= t.limit(limit) {
+				return false
+			}
+			return now-t.endpoints.lastHeard(s) < limit || t.parts.Sender.Alive(ctx, s.Endpoint)
 		}
 	}
 	return a
@@ -308,37 +314,45 @@
 		end.Result = attempt.ResultBroken
 		t.endpoints.lost(r.state, kind)
 	case KindSilent:
-		t.runs++
+		t.count()
 		end.Result = attempt.ResultSilent
 		if t.endpoints.lastHeard(r.state) < r.sentAt {
 			t.endpoints.lost(r.state, kind)
 		}
 		r.rate(true)
 	case KindCanceled:
-		t.runs++
+		t.count()
 		end.Result = attempt.ResultSilent
 	default:
-		t.runs++
+		t.count()
 		end.Result = attempt.ResultBroken
 		r.rate(true)
-		t.investigate(ctx, r.state)
+		if !t.alive(ctx, r) {
+			t.runs--
+		}
 	}
 	end.Another = t.another(end)
 }
 
-// investigate asks whether an endpoint died under the request, which makes the
-// request a suspect.
-func (t *task) investigate(ctx context.Context, s *placement.State) {
-	digest, e := t.digest, s.Endpoint
-	go func() {
-		if t.parts.Sender.Alive(context.WithoutCancel(ctx), e) {
-			return
-		}
-		t.endpoints.lost(s, KindBroken)
-		if digest != "" {
-			t.parts.Relay.Suspect(quarantine.Suspicion{Digest: digest, Crash: crash(e)})
-		}
-	}()
+// count notes that an attempt may have run.
+func (t *task) count() {
+	t.runs++
+	t.ran = true
+}
+
+// alive asks whether an endpoint outlived a broken attempt. A request is a
+// suspect if its endpoint died before the answer began. Endpoints that ended do
+// not count for the attempts of a request.
+func (t *task) alive(ctx context.Context, r *run) bool {
+	e := r.state.Endpoint
+	if t.parts.Sender.Alive(context.WithoutCancel(ctx), e) {
+		return true
+	}
+	t.endpoints.lost(r.state, KindBroken)
+	if t.digest != "" && r.answer == nil {
+		t.parts.Relay.Suspect(quarantine.Suspicion{Digest: t.digest, Crash: crash(e)})
+	}
+	return false
 }
 
 func crash(e *catalog.Endpoint) quarantine.Crash {
--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -33,6 +33,8 @@
 	// have is our stamp that the peer has merged; merged is its stamp that we have.
 	have   evidence.Stamp
 	merged evidence.Stamp
+	// suspicions is how many of the listed suspicions the peer was told.
+	suspicions int
 	// retry is when the peer may be asked again after a failure.
 	retry   clock.Millis
 	failing bool
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -58,12 +58,14 @@
 	mu       sync.Mutex
 	evidence *evidence.Counters
 	ledger   *quarantine.Ledger
-	stops    map[catalog.OrderNumber]bool
-	turn     int
-	leaving  bool
-	clients  map[string]*connect.Client[Message, Message]
-	met      bool
-	urged    chan struct{}
+	// suspicions lists those of the ledger in the order in which they came.
+	suspicions []quarantine.Suspicion
+	stops      map[catalog.OrderNumber]bool
+	turn       int
+	leaving    bool
+	clients    map[string]*connect.Client[Message, Message]
+	met        bool
+	urged      chan struct{}
 }
 
 // New returns a Relay of an instance that at first knows the addresses of some peers.
@@ -98,7 +100,11 @@
 	r.members.mu.Lock()
 	m.From = r.members.self
 	var have evidence.Stamp
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if p := r.members.peers[to]; p != nil {
+		m.Suspicions = r.suspicions[p.suspicions:]
+		p.suspicions = len(r.suspicions)
 		m.Have = p.merged
 		have = p.have
 		if p.heads != nil {
@@ -109,10 +115,7 @@
 		m.Members = r.members.list(now)
 	}
 	r.members.mu.Unlock()
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	m.Rows, m.Stamp = r.evidence.Since(have)
-	m.Suspicions = r.ledger.Suspicions()
 	for number := range r.stops {
 		m.Stops = append(m.Stops, number)
 	}
@@ -145,7 +148,7 @@
 	r.met = true
 	r.evidence.Merge(m.Rows)
 	for _, s := range m.Suspicions {
-		if r.ledger.Add(s) {
+		if r.add(s) {
 			r.logger.Info("suspicion-heard", "digest", s.Digest, "crash", s.Crash, "peer", m.From.Name)
 		}
 	}
@@ -190,6 +193,7 @@
 		return
 	}
 	p.retry = now + retryPause
+	p.suspicions = 0 // It may have missed the last ones.
 	if !p.failing {
 		p.failing = true
 		r.logger.Info("peer-lost", "peer", name, "address", address, "heard-ms", int64(now-p.heard), "error", err)
@@ -384,7 +388,7 @@
 // Suspect records that a request was in flight when an endpoint died.
 func (r *Relay) Suspect(s quarantine.Suspicion) {
 	r.mu.Lock()
-	added := r.ledger.Add(s)
+	added := r.add(s)
 	verdict := r.ledger.Judge(s.Digest)
 	r.mu.Unlock()
 	if added {
@@ -393,6 +397,14 @@
 	}
 }
 
+func (r *Relay) add(s quarantine.Suspicion) bool {
+	if !r.ledger.Add(s) {
+		return false
+	}
+	r.suspicions = append(r.suspicions, s)
+	return true
+}
+
 // Clear notes that a request ran to its end.
 func (r *Relay) Clear(digest quarantine.Digest) {
 	r.mu.Lock()
