--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -139,25 +139,21 @@
 }
 
 // begun notes that the endpoint has read a request's prompt.
-func (e *endpoints) begun(s *placement.State, parts []placement.Part, reading *bool) {
+func (e *endpoints) begun(s *placement.State, parts []placement.Part, model ticket.ModelName, reading *float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if *reading {
-		*reading = false
-		s.Reading -= placement.Tokens(parts)
-	}
-	s.Keep(parts, e.clock.Mono())
+	s.Reading -= *reading
+	*reading = 0
+	s.Keep(parts, model, e.clock.Mono())
 }
 
 // ended takes a request off an endpoint.
-func (e *endpoints) ended(s *placement.State, parts []placement.Part, reading *bool) {
+func (e *endpoints) ended(s *placement.State, reading *float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s.Own--
-	if *reading {
-		*reading = false
-		s.Reading -= placement.Tokens(parts)
-	}
+	s.Reading -= *reading
+	*reading = 0
 }
 
 // heard notes an answer's head.
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -112,6 +112,8 @@
 	return &placement.Query{
 		Zone:     t.limits.Load().Zone,
 		Parts:    t.request.Parts,
+		Model:    t.model,
+		Effort:   t.effort(),
 		Size:     len(t.request.Body),
 		Accept:   accept,
 		Tried:    t.tried,
@@ -120,6 +122,14 @@
 	}
 }
 
+// effort is what reading a token takes the request's model against the largest.
+func (t *task) effort() float64 {
+	if t.model == "" || t.service.Engine == nil {
+		return 1
+	}
+	return t.service.Engine.Effort(t.model)
+}
+
 // sessionKey groups requests that must stay on one release.
 func (t *task) sessionKey() string {
 	if t.request.Session != "" {
@@ -195,7 +205,7 @@
 
 // attempt sends the request to one endpoint and reads the answer's head.
 func (t *task) attempt(ctx context.Context, s *placement.State) (attempt.End, *run) {
-	r := &run{task: t, state: s, reading: true, sentAt: t.clock.Mono(), key: delayKey{t.route.Name, t.model}}
+	r := &run{task: t, state: s, reading: t.effort() * float64(placement.Tokens(t.request.Parts)), sentAt: t.clock.Mono(), key: delayKey{t.route.Name, t.model}}
 	t.last = s
 	t.sends++
 	t.tried = append(t.tried, s)
@@ -378,7 +388,7 @@
 	}
 	larger := ladder[len(ladder)-1]
 	q := t.query()
-	q.Tried = nil
+	q.Tried, q.Model, q.Effort = nil, larger, t.service.Engine.Effort(larger)
 	room := t.endpoints.peek(t.view, t.service, q)
 	if room.State == nil || t.runs >= t.route.Attempts || !t.endpoints.hasRetry(t.service.Name) {
 		return false
@@ -516,12 +526,13 @@
 
 // run is one attempt that reached an endpoint.
 type run struct {
-	task    *task
-	state   *placement.State
-	answer  *Answer
-	key     delayKey
-	sentAt  clock.Millis
-	reading bool
+	task   *task
+	state  *placement.State
+	answer *Answer
+	key    delayKey
+	sentAt clock.Millis
+	// reading is the weighed tokens that the endpoint has yet to read.
+	reading float64
 	ended   bool
 	rated   bool
 	slow    bool
@@ -531,7 +542,7 @@
 func (r *run) first() {
 	t := r.task
 	now := t.clock.Mono()
-	t.endpoints.begun(r.state, t.request.Parts, &r.reading)
+	t.endpoints.begun(r.state, t.request.Parts, r.key.model, &r.reading)
 	fresh := now-r.state.Since < settleSpan
 	r.slow = t.endpoints.delay(r.state, r.key, now-r.sentAt, t.arm != ArmNew && !fresh) && !fresh
 }
@@ -570,7 +581,7 @@
 		return
 	}
 	r.ended = true
-	r.task.endpoints.ended(r.state, r.task.request.Parts, &r.reading)
+	r.task.endpoints.ended(r.state, &r.reading)
 }
 
 // close ends the attempt at the endpoint too.
--- a/policy/cascade/confidence.go
+++ b/policy/cascade/confidence.go
@@ -37,6 +37,8 @@
 	// bench: answers below 40 hold most of the poor ones, above 60 hardly any.
 	evenConfidence  = 45.0
 	confidenceScale = 8.0
+	// wholeMargin is how much longer than expected a whole answer may take.
+	wholeMargin = 1.4
 	// loss is the part of its value that a poor answer lacks.
 	loss = 0.95
 	// shadowFill is the fill above which capacity is scarce, and shadowPrice
@@ -53,7 +55,7 @@
 // Escalate reports whether a larger model should answer instead: whether what
 // the better answer adds is worth more than it costs, and it comes in time.
 func (d Doubt) Escalate() bool {
-	if d.Confidence == ConfidenceUnknown || d.Left < d.Expected || d.LeftWhole < d.Whole {
+	if d.Confidence == ConfidenceUnknown || d.Left < d.Expected || float64(d.LeftWhole) < wholeMargin*float64(d.Whole) {
 		return false
 	}
 	scarcity := 1 + shadowPrice*max(0, d.Fill-shadowFill)/(1-shadowFill)
--- a/policy/catalog/catalog.go
+++ b/policy/catalog/catalog.go
@@ -66,6 +66,18 @@
 	Models []Model
 }
 
+// Effort returns what a model costs against the dearest one, 0 to 1.
+func (e *Engine) Effort(model ticket.ModelName) float64 {
+	most := 0.0
+	for _, m := range e.Models {
+		most = max(most, m.Cost)
+	}
+	if most <= 0 {
+		return 1
+	}
+	return e.Cost(model) / most
+}
+
 // Cost returns the price of 1,000 generated tokens of a model, or 0 if it is not known.
 func (e *Engine) Cost(model ticket.ModelName) float64 {
 	for _, m := range e.Models {
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -17,6 +17,10 @@
 	Zone ticket.ZoneName
 	// Parts are the prompt's parts in order; the last is the request's own.
 	Parts []Part
+	// Model reads the prompt, and Effort is what that takes against the slowest
+	// model of the service, 0 to 1.
+	Model  ticket.ModelName
+	Effort float64
 	// Size is the number of bytes that would cross zones.
 	Size int
 	// Accept filters endpoints, by view and release.
@@ -48,11 +52,14 @@
 }
 
 const (
-	// readRate is the prompt tokens that an engine reads in a millisecond, for
-	// weighing; engines of the installations read 30 to 110.
-	readRate = 60.0
+	// readRate is the prompt tokens that the slowest model reads in a
+	// millisecond: 30 to 37 at the users' engines.
+	readRate = 35.0
+	// againRate is the tokens that may be read once more for a millisecond's
+	// delay: reading a shared part again costs, whatever the model.
+	againRate = 70.0
 	// homeTrust is the chance that the endpoint where all machines send a part has it.
-	homeTrust = 0.7
+	homeTrust = 0.85
 	// fillCost is the delay that a full endpoint adds over an empty one.
 	fillCost = 120.0
 	// crowdFill is the fill from which each further request is dear.
@@ -141,7 +148,7 @@
 		return false
 	}
 	s.Own++
-	s.Reading += Tokens(q.Parts)
+	s.Reading += q.Effort * float64(Tokens(q.Parts))
 	return true
 }
 
@@ -184,14 +191,13 @@
 
 func (q *Query) cost(s *State, home bool) float64 {
 	shared := q.shared()
-	unread := float64(Tokens(q.Parts))
-	if kept := s.kept(shared, q.Now); kept > 0 {
-		unread -= float64(kept)
-	} else if home {
-		unread -= homeTrust * float64(Tokens(shared))
+	total := float64(Tokens(q.Parts))
+	saved := float64(s.kept(shared, q.Model, q.Now))
+	if home {
+		saved = max(saved, homeTrust*float64(Tokens(shared)))
 	}
 	fill := s.Fill(q.Now)
-	cost := (unread + float64(s.Reading)) / readRate
+	cost := (q.Effort*(total-saved)+s.Reading)/readRate - saved/againRate
 	cost += fillCost * fill
 	if fill > crowdFill {
 		cost += crowdCost * (fill - crowdFill)
--- a/policy/placement/state.go
+++ b/policy/placement/state.go
@@ -4,6 +4,7 @@
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/share"
+	"foxtailbridge/policy/ticket"
 )
 
 // PartID identifies one part of a prompt.
@@ -27,8 +28,9 @@
 	Endpoint *catalog.Endpoint
 	// Own is the number of this machine's requests there.
 	Own int
-	// Reading is the number of prompt tokens sent there whose answer has not begun.
-	Reading int
+	// Reading is the number of prompt tokens sent there whose answer has not
+	// begun, weighed by their models.
+	Reading float64
 	// ColdUntil is when the endpoint has warmed up.
 	ColdUntil clock.Millis
 	// Since is when this machine first saw the endpoint.
@@ -48,7 +50,13 @@
 	ownAtReport int
 	downUntil   clock.Millis
 	misses      int
-	parts       map[PartID]clock.Millis
+	parts       map[keptPart]clock.Millis
+}
+
+// keptPart is a part as one model has read it.
+type keptPart struct {
+	id    PartID
+	model ticket.ModelName
 }
 
 const (
@@ -81,7 +89,7 @@
 
 // NewState returns a State for an endpoint first seen at the time.
 func NewState(e *catalog.Endpoint, now clock.Millis) *State {
-	return &State{Endpoint: e, Since: now, LastHeard: now, parts: map[PartID]clock.Millis{}}
+	return &State{Endpoint: e, Since: now, LastHeard: now, parts: map[keptPart]clock.Millis{}}
 }
 
 // Cold reports whether the endpoint is still warming up.
@@ -139,10 +147,10 @@
 	return float64(s.Occupied(now)) / float64(max(1, s.Endpoint.Slots))
 }
 
-// Keep remembers that the endpoint has read the parts.
-func (s *State) Keep(parts []Part, now clock.Millis) {
+// Keep remembers that a model at the endpoint has read the parts.
+func (s *State) Keep(parts []Part, model ticket.ModelName, now clock.Millis) {
 	for _, p := range parts {
-		s.parts[p.ID] = now
+		s.parts[keptPart{p.ID, model}] = now
 	}
 	if len(s.parts) > partsKept {
 		for id, at := range s.parts {
@@ -164,11 +172,12 @@
 	clear(s.parts)
 }
 
-// kept returns the tokens of the leading parts that the endpoint is known to have read.
-func (s *State) kept(parts []Part, now clock.Millis) int {
+// kept returns the tokens of the leading parts that the model at the endpoint
+// is known to have read.
+func (s *State) kept(parts []Part, model ticket.ModelName, now clock.Millis) int {
 	tokens := 0
 	for _, p := range parts {
-		at, ok := s.parts[p.ID]
+		at, ok := s.parts[keptPart{p.ID, model}]
 		if !ok || now-at > partMemory {
 			break
 		}
