Sum evidence by zone, read on the strongest machines, stop releases on answers only

Cause: on the grown site each machine passed every machine's tallies and member lists three times a second, more than a 10 Mbit/s link carries; good releases were stopped for channels that broke under them; requests on idle channels that the replica had dropped ended unknown.

--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -132,6 +132,10 @@
 		w.outcome, w.decided = registry.OutcomeRolledBack, now
 		return
 	}
+	if d.relay.Rank() != 0 {
+		w.history = nil
+		return // The zones' readers have the evidence; the others hear of a stop.
+	}
 	s := d.sample(view, order, now)
 	w.history = append(w.history, s)
 	for len(w.history) > 1 && now-w.history[1].at > longSpan {
--- a/entry/forward/releases.go
+++ b/entry/forward/releases.go
@@ -10,7 +10,6 @@
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/rollout"
-	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/ticket"
 )
 
@@ -68,12 +67,8 @@
 	return p
 }
 
-const (
-	shareBuckets = 10000
-	// canaryCrowd is how many times their part of the endpoints the canary's
-	// share is served by, so that they are about as loaded as the others.
-	canaryCrowd = 1.5
-)
+// shareBuckets is the resolution of a canary's share.
+const shareBuckets = 10000
 
 // pick returns the arm for a request and a filter for its endpoints.
 func (r *releases) pick(view *registry.State, service ticket.ServiceName, session string) (Arm, func(*catalog.Endpoint) bool, *progress) {
@@ -86,10 +81,6 @@
 	if arm == ArmOld {
 		return arm, func(e *catalog.Endpoint) bool { return e.Release != target && view.Holds(e) }, p
 	}
-	if p.phase == rollout.PhaseCanary && p.outcome == registry.OutcomeRunning {
-		chosen := r.canaries(view, service, p.order)
-		return arm, func(e *catalog.Endpoint) bool { return e.Release == target && chosen[e.ID] && view.Holds(e) }, p
-	}
 	return arm, func(e *catalog.Endpoint) bool { return e.Release == target && view.Holds(e) }, p
 }
 
@@ -120,31 +111,6 @@
 	return ArmOld
 }
 
-// canaries returns the new endpoints that serve the canary's share; all
-// instances pick the same.
-func (r *releases) canaries(view *registry.State, service ticket.ServiceName, order *catalog.Order) map[routing.EndpointID]bool {
-	var fresh []*catalog.Endpoint
-	for _, e := range view.Endpoints[service] {
-		if e.Release == order.Target && view.Holds(e) {
-			fresh = append(fresh, e)
-		}
-	}
-	share := rollout.CanaryShare(rollout.PhaseCanary, r.limits.Load().Exposure)
-	want := max(2, int(share*canaryCrowd*float64(len(fresh))+0.999))
-	chosen := map[routing.EndpointID]bool{}
-	for len(chosen) < want && len(chosen) < len(fresh) {
-		var best *catalog.Endpoint
-		var bestWeight uint64
-		for _, e := range fresh {
-			if w := routing.Weight(uint64(order.Number), string(e.ID)); !chosen[e.ID] && (best == nil || w > bestWeight) {
-				best, bestWeight = e, w
-			}
-		}
-		chosen[best.ID] = true
-	}
-	return chosen
-}
-
 // remember pins a session to the release on which it ran.
 func (r *releases) remember(session string, release catalog.Release) {
 	if session == "" {
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -96,6 +96,8 @@
 	FirstBy clock.Millis
 	// Waits is asked when FirstBy has passed, if it is set; true waits as long again.
 	Waits func() bool
+	// Once is true if the request may run only once.
+	Once bool
 	// After is the event behind which a stream goes on, or "".
 	After EventID
 	// Weights is the version of the weights that must go on, or "".
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -255,7 +255,7 @@
 	a := &Attempt{
 		Request: t.request, Endpoint: s.Endpoint, Workspace: t.workspace, Rank: t.rank, Model: t.model,
 		Left: left, FirstBy: left, After: t.after, Weights: t.weights, Stream: t.route.Stream,
-		Gap: t.gap(),
+		Gap: t.gap(), Once: !t.repeatable(),
 	}
 	if t.repeatable() && t.sends <= t.route.Attempts-1 {
 		sent, limit := t.clock.Mono(), t.patience()
@@ -558,8 +558,8 @@
 	r.rated = true
 	t := r.task
 	t.endpoints.rate(r.state, t.service.Name, failed)
-	if t.progress == nil || t.progress.outcome != registry.OutcomeRunning {
-		return
+	if t.progress == nil || t.progress.outcome != registry.OutcomeRunning || r.answer == nil {
+		return // A channel that broke says more of the endpoint than of its release.
 	}
 	arm := evidence.ArmFrom
 	if r.state.Endpoint.Release == t.progress.order.Target {
--- a/entry/relay/follow.go
+++ b/entry/relay/follow.go
@@ -18,6 +18,8 @@
 	rankStep = 500 * clock.Millis(1)
 	// rankSteps bounds the steps, so that the last member is not late itself.
 	rankSteps = 3
+	// startWait is how long a starting instance waits for its peers' knowledge.
+	startWait = 900 * clock.Millis(1)
 	// lookPeriod is how often an instance looks whether it has to read.
 	lookPeriod = 100 * clock.Millis(1)
 	// firstBackoff and maxBackoff bound the pause after a failed read.
@@ -79,7 +81,7 @@
 	rank := min(f.relay.Rank(), rankSteps)
 	age := f.registry.Age(feed)
 	if age == registry.Never {
-		return 0
+		return f.first()
 	}
 	limit := endpointsPeriod
 	switch feed {
@@ -98,6 +100,16 @@
 	return min(lookPeriod, limit-age)
 }
 
+// first returns how long a starting instance waits for what its peers know. The
+// seeds read at once, so that the others need not.
+func (f *Follower) first() clock.Millis {
+	now := f.clock.Mono()
+	if f.relay.Seed() || now >= startWait {
+		return 0
+	}
+	return min(lookPeriod, startWait-now)
+}
+
 func (f *Follower) read(ctx context.Context, feed registry.Feed) error {
 	head, known := f.registry.Head(feed)
 	if known {
--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -9,7 +9,6 @@
 
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/clock"
-	"foxtailbridge/policy/evidence"
 	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/ticket"
 )
@@ -30,9 +29,8 @@
 	heard  clock.Millis
 	// heads is what the peer said last of what it knows.
 	heads map[registry.Feed]registry.Offset
-	// have is our stamp that the peer has merged; merged is its stamp that we have.
-	have   evidence.Stamp
-	merged evidence.Stamp
+	// count is how many instances the peer counts.
+	count int
 	// suspicions is how many of the listed suspicions the peer was told.
 	suspicions int
 	// retry is when the peer may be asked again after a failure.
@@ -46,8 +44,6 @@
 	mu    sync.Mutex
 	self  Member
 	peers map[string]*peer
-	// fresh is true while the peers have not been told of a new member.
-	fresh bool
 }
 
 func newMembers(self Member) *members {
@@ -63,14 +59,12 @@
 	if p == nil {
 		p = &peer{member: h.Member, heard: now - h.Age}
 		m.peers[h.Name] = p
-		m.fresh = true
 		return p
 	}
 	if at := now - h.Age; at > p.heard {
 		p.heard = at
 		if p.member.Run != h.Run {
 			*p = peer{member: h.Member, heard: at}
-			m.fresh = true
 		}
 	}
 	return p
@@ -93,7 +87,7 @@
 	}
 	key := xxhash.Sum64String(string(zone))
 	slices.SortFunc(list, func(a, b Member) int {
-		return cmp.Compare(routing.Weight(key, b.Name), routing.Weight(key, a.Name))
+		return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(routing.Weight(key, b.Name), routing.Weight(key, a.Name)))
 	})
 	return list
 }
@@ -112,7 +106,8 @@
 	own := routing.Weight(key, m.self.Name)
 	rank := 0
 	for _, p := range m.peers {
-		if m.alive(p, now) && routing.Weight(key, p.member.Name) > own {
+		stronger := p.member.Power > m.self.Power || p.member.Power == m.self.Power && routing.Weight(key, p.member.Name) > own
+		if m.alive(p, now) && stronger {
 			rank++
 		}
 	}
@@ -123,16 +118,17 @@
 func (m *members) count(now clock.Millis) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := 1
+	n, told := 1, 0
 	for name, p := range m.peers {
 		switch {
 		case now-p.heard < countSpan:
 			n++
+			told = max(told, p.count)
 		case now-p.heard > forgetSpan:
 			delete(m.peers, name)
 		}
 	}
-	return n
+	return max(n, told)
 }
 
 // zones returns the zones of the live peers other than this instance's.
@@ -148,12 +144,23 @@
 	return list
 }
 
-// list returns all members with their ages.
-func (m *members) list(now clock.Millis) []Heard {
-	list := []Heard{{Member: m.self}}
-	for _, p := range m.peers {
-		if now-p.heard < countSpan {
-			list = append(list, Heard{Member: p.member, Age: now - p.heard})
+// strangers is how many members of another zone a list names.
+const strangers = 2
+
+// list returns the members that an instance of the zone needs to know: those of
+// its zone, and the first of each other.
+func (m *members) list(zone ticket.ZoneName, now clock.Millis) []Heard {
+	var list []Heard
+	for _, z := range append(m.zones(now), m.self.Zone) {
+		for i, member := range m.ranked(z, now) {
+			if z != zone && i >= strangers {
+				break
+			}
+			h := Heard{Member: member}
+			if p := m.peers[member.Name]; p != nil {
+				h.Age = now - p.heard
+			}
+			list = append(list, h)
 		}
 	}
 	return list
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -18,6 +18,13 @@
 	Address string          `json:"address"`
 	// Run identifies one run of the instance's process.
 	Run string `json:"run"`
+	// Power orders members by what they can bear; duties go to the strongest.
+	Power int `json:"power,omitempty"`
+}
+
+// instance names the member's run in evidence.
+func (m Member) instance() string {
+	return m.Name + "/" + m.Run
 }
 
 // Heard is a member with the time since anyone last heard from it.
@@ -29,15 +36,18 @@
 // Message is what two instances tell each other, in both directions.
 type Message struct {
 	From Member `json:"from"`
-	// Members is set now and then, and to a peer that is new.
+	// Members is what a zone's reader knows, if the receiver asked for it.
 	Members []Heard `json:"members,omitempty"`
+	// Asks is true if the sender wants members in the answer.
+	Asks bool `json:"asks,omitempty"`
+	// Count is the number of instances that the sender counts.
+	Count int `json:"count,omitempty"`
 	// Heads say up to where the sender knows each feed.
 	Heads   map[registry.Feed]registry.Offset `json:"heads,omitempty"`
 	Batches []registry.Batch                  `json:"batches,omitempty"`
-	Rows    []evidence.Row                    `json:"rows,omitempty"`
-	// Stamp covers Rows; Have is the receiver's stamp that the sender has merged.
-	Stamp      evidence.Stamp         `json:"stamp,omitempty"`
-	Have       evidence.Stamp         `json:"have,omitempty"`
+	// Rows are the sender's own tallies to its zone's reader, and sums of zones
+	// between readers.
+	Rows       []row                  `json:"rows,omitempty"`
 	Suspicions []quarantine.Suspicion `json:"suspicions,omitempty"`
 	Stops      []catalog.OrderNumber  `json:"stops,omitempty"`
 	Leaving    bool                   `json:"leaving,omitempty"`
@@ -54,3 +64,29 @@
 
 // Unmarshal decodes a message.
 func (codec) Unmarshal(data []byte, message any) error { return json.Unmarshal(data, message) }
+
+// row is a tally in few bytes: an installation sends thousands a second.
+type row struct {
+	Order int64              `json:"o"`
+	Arm   evidence.Arm       `json:"a"`
+	Route ticket.Class       `json:"r"`
+	For   ticket.RolloutName `json:"s"`
+	// Zone is set in the sum of a zone.
+	Zone ticket.ZoneName `json:"z,omitempty"`
+	Good int64           `json:"g"`
+	Bad  int64           `json:"b,omitempty"`
+}
+
+func encodeRow(r evidence.Row, zone ticket.ZoneName) row {
+	return row{
+		Order: int64(r.Series.Number), Arm: r.Series.Arm, Route: r.Series.Class, For: r.Series.Rollout,
+		Zone: zone, Good: r.Tally.Good, Bad: r.Tally.Bad,
+	}
+}
+
+// decode returns the row as counted in the name of an instance or zone.
+func (r row) decode(instance string) evidence.Row {
+	s := evidence.RolloutSeries(r.For, ticket.Number(r.Order), r.Arm)
+	s.Class = r.Route
+	return evidence.Row{Instance: instance, Series: s, Tally: evidence.Tally{Good: r.Good, Bad: r.Bad}}
+}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
 	"foxtailbridge/policy/quarantine"
+	"foxtailbridge/policy/ticket"
 )
 
 // procedure is the path of the exchange between instances.
@@ -27,8 +29,8 @@
 	// period is how often an instance exchanges with its reader, or a reader
 	// with the other zones.
 	period = 300 * clock.Millis(1)
-	// membersEvery is the number of exchanges between two that carry the member list.
-	membersEvery = 5
+	// membersEvery is the number of exchanges between two that ask for members.
+	membersEvery = 6
 	// exchangeWait bounds one exchange; links inside a region answer in a few ms.
 	exchangeWait = 600 * time.Millisecond
 	// retryPause is how long a peer is left alone after a failed exchange.
@@ -55,9 +57,12 @@
 	members *members
 	seeds   []string
 
-	mu       sync.Mutex
-	evidence *evidence.Counters
-	ledger   *quarantine.Ledger
+	mu sync.Mutex
+	// own holds the tallies of this instance and, at the reader, those of its zone.
+	own *evidence.Counters
+	// zones holds the sums of all zones.
+	zones  *evidence.Counters
+	ledger *quarantine.Ledger
 	// suspicions lists those of the ledger in the order in which they came.
 	suspicions []quarantine.Suspicion
 	stops      map[catalog.OrderNumber]bool
@@ -71,15 +76,16 @@
 // New returns a Relay of an instance that at first knows the addresses of some peers.
 func New(self Member, seeds []string, parts Parts) *Relay {
 	return &Relay{
-		parts:    parts,
-		logger:   parts.Logger.Named("relay"),
-		members:  newMembers(self),
-		seeds:    seeds,
-		evidence: evidence.NewCounters(self.Name + "/" + self.Run),
-		ledger:   quarantine.NewLedger(),
-		stops:    map[catalog.OrderNumber]bool{},
-		clients:  map[string]*connect.Client[Message, Message]{},
-		urged:    make(chan struct{}, 1),
+		parts:   parts,
+		logger:  parts.Logger.Named("relay"),
+		members: newMembers(self),
+		seeds:   seeds,
+		own:     evidence.NewCounters(self.instance()),
+		zones:   evidence.NewCounters(""),
+		ledger:  quarantine.NewLedger(),
+		stops:   map[catalog.OrderNumber]bool{},
+		clients: map[string]*connect.Client[Message, Message]{},
+		urged:   make(chan struct{}, 1),
 	}
 }
 
@@ -91,31 +97,32 @@
 func (r *Relay) serve(_ context.Context, request *connect.Request[Message]) (*connect.Response[Message], error) {
 	now := r.parts.Clock.Mono()
 	r.take(request.Msg, now)
-	return connect.NewResponse(r.message(request.Msg.From.Name, now, len(request.Msg.Members) > 0)), nil
+	return connect.NewResponse(r.message(request.Msg.From.Name, now, request.Msg.Asks)), nil
 }
 
 // message builds what to tell a peer.
 func (r *Relay) message(to string, now clock.Millis, withMembers bool) *Message {
-	m := &Message{Heads: r.parts.Registry.Heads()}
+	m := &Message{Heads: r.parts.Registry.Heads(), Count: r.members.count(now)}
 	r.members.mu.Lock()
 	m.From = r.members.self
-	var have evidence.Stamp
+	p := r.members.peers[to]
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p := r.members.peers[to]; p != nil {
+	zone := m.From.Zone
+	if p != nil {
+		zone = p.member.Zone
 		m.Suspicions = r.suspicions[p.suspicions:]
 		p.suspicions = len(r.suspicions)
-		m.Have = p.merged
-		have = p.have
 		if p.heads != nil {
 			m.Batches = r.parts.Registry.Since(p.heads)
 		}
 	}
-	if withMembers || r.members.fresh {
-		m.Members = r.members.list(now)
+	if withMembers {
+		m.Members = r.members.list(zone, now)
 	}
+	reader := r.members.ranked(m.From.Zone, now)[0].Name == m.From.Name
 	r.members.mu.Unlock()
-	m.Rows, m.Stamp = r.evidence.Since(have)
+	m.Rows = r.rows(zone == m.From.Zone, reader, m.From.Zone)
 	for number := range r.stops {
 		m.Stops = append(m.Stops, number)
 	}
@@ -123,6 +130,36 @@
 	return m
 }
 
+// rows returns the evidence for a peer; the caller holds the lock.
+func (r *Relay) rows(sameZone, reader bool, zone ticket.ZoneName) []row {
+	var list []row
+	if !reader {
+		if sameZone {
+			for _, e := range r.own.All() {
+				if e.Instance == r.members.self.instance() {
+					list = append(list, encodeRow(e, ""))
+				}
+			}
+		}
+		return list
+	}
+	if sameZone {
+		return nil
+	}
+	r.foldZone(zone)
+	for _, e := range r.zones.All() {
+		list = append(list, encodeRow(e, ticket.ZoneName(e.Instance)))
+	}
+	return list
+}
+
+// foldZone takes the sum of this zone's instances into the sums of all zones.
+// A new reader starts from what its members report again, so the larger of old
+// and new sum holds.
+func (r *Relay) foldZone(zone ticket.ZoneName) {
+	r.zones.Merge(r.own.Fold(string(zone)))
+}
+
 // take merges what a peer told.
 func (r *Relay) take(m *Message, now clock.Millis) {
 	r.members.mu.Lock()
@@ -137,8 +174,7 @@
 		if p.heads == nil {
 			p.heads = map[registry.Feed]registry.Offset{}
 		}
-		p.have = m.Have
-		p.merged = max(p.merged, m.Stamp)
+		p.count = m.Count
 		p.leaving = m.Leaving
 		p.failing = false
 		p.retry = 0
@@ -146,7 +182,13 @@
 	r.members.mu.Unlock()
 	r.mu.Lock()
 	r.met = true
-	r.evidence.Merge(m.Rows)
+	for _, e := range m.Rows {
+		if e.Zone != "" {
+			r.zones.Merge([]evidence.Row{e.decode(string(e.Zone))})
+		} else {
+			r.own.Merge([]evidence.Row{e.decode(m.From.instance())})
+		}
+	}
 	for _, s := range m.Suspicions {
 		if r.add(s) {
 			r.logger.Info("suspicion-heard", "digest", s.Digest, "crash", s.Crash, "peer", m.From.Name)
@@ -163,7 +205,7 @@
 }
 
 // exchange tells one peer what is new and merges its answer.
-func (r *Relay) exchange(ctx context.Context, address, name string, withMembers bool) bool {
+func (r *Relay) exchange(ctx context.Context, address, name string, asks bool) bool {
 	r.mu.Lock()
 	client := r.clients[address]
 	if client == nil {
@@ -173,7 +215,7 @@
 	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, exchangeWait)
 	defer cancel()
-	answer, err := client.CallUnary(ctx, connect.NewRequest(r.message(name, r.parts.Clock.Mono(), withMembers)))
+	answer, err := client.CallUnary(ctx, connect.NewRequest(r.question(name, asks)))
 	now := r.parts.Clock.Mono()
 	r.parts.Scope.Counter("exchanges").Inc(1)
 	if err != nil {
@@ -184,6 +226,13 @@
 	return true
 }
 
+// question builds the message that opens an exchange.
+func (r *Relay) question(to string, asks bool) *Message {
+	m := r.message(to, r.parts.Clock.Mono(), false)
+	m.Asks = asks
+	return m
+}
+
 func (r *Relay) fail(name, address string, err error, now clock.Millis) {
 	r.parts.Scope.Counter("exchanges_failed").Inc(1)
 	r.members.mu.Lock()
@@ -237,12 +286,9 @@
 func (r *Relay) each(ctx context.Context, targets []target, withMembers bool) {
 	var wait sync.WaitGroup
 	for _, t := range targets {
-		wait.Go(func() { r.exchange(ctx, t.address, t.name, withMembers) })
+		wait.Go(func() { r.exchange(ctx, t.address, t.name, withMembers || t.name == "") })
 	}
 	wait.Wait()
-	r.members.mu.Lock()
-	r.members.fresh = false
-	r.members.mu.Unlock()
 }
 
 // targets picks the peers of one round: a plain member asks the reader of its
@@ -334,6 +380,11 @@
 	return r.members.count(r.parts.Clock.Mono())
 }
 
+// Seed reports whether other instances look for their first peers here.
+func (r *Relay) Seed() bool {
+	return slices.Contains(r.seeds, r.members.self.Address)
+}
+
 // Met reports whether any peer was reached in this run.
 func (r *Relay) Met() bool {
 	r.mu.Lock()
@@ -368,21 +419,23 @@
 func (r *Relay) Rate(series evidence.Series, good bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.evidence.Rate(series, good)
+	r.own.Rate(series, good)
 }
 
-// Sum returns all instances' tally of a series.
+// Sum returns all zones' tally of a series; only a zone's reader knows it fully.
 func (r *Relay) Sum(series evidence.Series) evidence.Tally {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.evidence.Sum(series)
+	r.foldZone(r.members.self.Zone)
+	return r.zones.Sum(series)
 }
 
 // Retain forgets evidence that keep rejects.
 func (r *Relay) Retain(keep func(evidence.Series) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.evidence.Retain(keep)
+	r.own.Retain(keep)
+	r.zones.Retain(keep)
 }
 
 // Suspect records that a request was in flight when an endpoint died.
--- a/policy/evidence/evidence.go
+++ b/policy/evidence/evidence.go
@@ -171,6 +171,21 @@
 	return changed
 }
 
+// All returns all rows in a fixed order.
+func (c *Counters) All() []Row {
+	rows, _ := c.Since(0)
+	return rows
+}
+
+// Fold returns the sums of all series as rows in the name of an instance.
+func (c *Counters) Fold(instance string) []Row {
+	rows := make([]Row, 0, len(c.sums))
+	for series, tally := range c.sums {
+		rows = append(rows, Row{Instance: instance, Series: series, Tally: tally})
+	}
+	return rows
+}
+
 // Since returns the rows that changed after the stamp, in a fixed order, and
 // the stamp to ask with next time.
 func (c *Counters) Since(stamp Stamp) ([]Row, Stamp) {
