Blame a release only if its bad answers come from many of its endpoints

Evidence now names the endpoints of bad answers; recent answers of the new release are judged against the same moment of the old one. A restarted instance reads the store after 40 ms instead of 900 ms: callers were refused for want of a configuration after a power loss.

--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -146,6 +146,13 @@
 		answers += to.Rated()
 		from, spans := d.spans(w, s, route, now)
 		if rollout.JudgeSpans(from, spans, assumedRate) == rollout.VerdictStop {
+			spread := d.relay.BadEndpoints(forward.Series(order, route, evidence.ArmTo))
+			endpoints := release(view, order)
+			if !rollout.Spread(spread, endpoints, to.Rated()) {
+				d.logger.Info("endpoints-bad", "service", order.Service, "order", order.Number, "route", route, "bad-endpoints", spread,
+					"endpoints", endpoints, "good", to.Good, "bad", to.Bad)
+				continue
+			}
 			d.logger.Warn("release-bad", "service", order.Service, "target", order.Target, "order", order.Number, "route", route,
 				"good", to.Good, "bad", to.Bad, "old-good", s.from[route].Good, "old-bad", s.from[route].Bad)
 			d.relay.Stop(order.Number, "evidence")
@@ -160,6 +167,17 @@
 	}
 }
 
+// release counts the endpoints of an order's new release.
+func release(view *registry.State, order *catalog.Order) int {
+	count := 0
+	for _, e := range view.Endpoints[order.Service] {
+		if e.Release == order.Target {
+			count++
+		}
+	}
+	return count
+}
+
 func (d *Duty) sample(view *registry.State, order *catalog.Order, now clock.Millis) sample {
 	s := sample{at: now, from: map[catalog.RouteName]evidence.Tally{}, to: map[catalog.RouteName]evidence.Tally{}}
 	for _, route := range view.Config.RoutesOf(order.Service) {
@@ -175,9 +193,8 @@
 	for _, span := range []clock.Millis{shortSpan, longSpan} {
 		for _, old := range w.history {
 			if now-old.at <= span {
-				// The old release's whole record stays the measure.
-				from = append(from, s.from[route])
 				to = append(to, minus(s.to[route], old.to[route]))
+				from = append(from, worse(s.from[route], minus(s.from[route], old.from[route])))
 				break
 			}
 		}
@@ -185,6 +202,15 @@
 	return from, to
 }
 
+// worse returns the old release's recent record if it is worse than its whole
+// one: trouble that hits both releases is no fault of the new one.
+func worse(whole, recent evidence.Tally) evidence.Tally {
+	if recent.Rated() >= leastAnswers && recent.Bad*whole.Rated() > whole.Bad*recent.Rated() {
+		return recent
+	}
+	return whole
+}
+
 func minus(a, b evidence.Tally) evidence.Tally {
 	return evidence.Tally{Exposed: a.Exposed - b.Exposed, Good: a.Good - b.Good, Bad: a.Bad - b.Bad}
 }
--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -48,8 +48,23 @@
 	pauses map[ticket.ModelName]*placement.Average
 	// sizes holds the mean size of each route's requests.
 	sizes map[catalog.RouteName]*placement.Average
+	// reach is what is known of the way to each zone.
+	reach map[ticket.ZoneName]*reach
 }
 
+// reach counts the endpoints of a zone that could not be reached in a row.
+type reach struct {
+	misses int
+	until  clock.Millis
+}
+
+const (
+	// cutMisses is how many endpoints in a row show that a zone is cut off.
+	cutMisses = 3
+	// cutPause is how long the zone is then left alone.
+	cutPause = clock.Second
+)
+
 type delayKey struct {
 	route catalog.RouteName
 	model ticket.ModelName
@@ -64,6 +79,7 @@
 		delays:    map[delayKey]*placement.Average{},
 		pauses:    map[ticket.ModelName]*placement.Average{},
 		sizes:     map[catalog.RouteName]*placement.Average{},
+		reach:     map[ticket.ZoneName]*reach{},
 	}
 }
 
@@ -103,24 +119,26 @@
 func (e *endpoints) pool(name ticket.ServiceName) *pool {
 	p := e.pools[name]
 	if p == nil {
-		p = &pool{retries: share.Retries{Ratio: e.limits.Load().RetryRatio * ownPart, Span: e.limits.Load().RetrySpan}}
+		p = &pool{retries: share.Retries{Ratio: e.limits.Load().RetryRatio * ratioPart, Span: e.limits.Load().RetrySpan}}
 		e.pools[name] = p
 	}
 	return p
 }
 
-// ownPart is the part of a fleet limit that is used, so that windows that are
-// counted apart stay below it together.
-const ownPart = 0.8
+const (
+	// ownPart is the part of a fleet limit that is used, so that windows that
+	// are counted apart stay below it together.
+	ownPart = 0.8
+	// ratioPart is the same for a limit that grows with the requests: those of
+	// all instances add up, only the windows differ.
+	ratioPart = 0.9
+)
 
 // choose picks an endpoint and counts the request there.
 func (e *endpoints) choose(view *registry.State, service *catalog.Service, q *placement.Query) placement.Choice {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	q.Now = e.clock.Mono()
-	e.sync(view, q.Now)
-	q.ColdRate = service.ColdRate / float64(max(1, e.instances()))
-	p := e.pool(service.Name)
+	p := e.prepare(view, service, q)
 	choice := placement.Choose(p.states, q, e.random)
 	if choice.State != nil && !q.Begin(choice.State) {
 		choice.State, choice.Reason = nil, routing.ReasonCold
@@ -132,10 +150,7 @@
 func (e *endpoints) peek(view *registry.State, service *catalog.Service, q *placement.Query) placement.Choice {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	q.Now = e.clock.Mono()
-	e.sync(view, q.Now)
-	q.ColdRate = service.ColdRate / float64(max(1, e.instances()))
-	return placement.Choose(e.pool(service.Name).states, q, e.random)
+	return placement.Choose(e.prepare(view, service, q).states, q, e.random)
 }
 
 // begun notes that the endpoint has read a request's prompt.
@@ -161,6 +176,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Mono()
+	*e.zone(s.Endpoint.Zone) = reach{}
 	if s.Hear(now) && service.ColdSpan > 0 {
 		// An endpoint that was out of reach may have started anew.
 		s.Forget()
@@ -170,6 +186,27 @@
 	}
 }
 
+func (e *endpoints) zone(name ticket.ZoneName) *reach {
+	z := e.reach[name]
+	if z == nil {
+		z = &reach{}
+		e.reach[name] = z
+	}
+	return z
+}
+
+// prepare completes a query with what this instance knows; the caller holds the lock.
+func (e *endpoints) prepare(view *registry.State, service *catalog.Service, q *placement.Query) *pool {
+	q.Now = e.clock.Mono()
+	e.sync(view, q.Now)
+	q.ColdRate = service.ColdRate / float64(max(1, e.instances()))
+	q.CutOff = func(zone ticket.ZoneName) bool {
+		z := e.reach[zone]
+		return z != nil && zone != q.Zone && q.Now < z.until
+	}
+	return e.pool(service.Name)
+}
+
 // touched notes that any byte came from the endpoint.
 func (e *endpoints) touched(s *placement.State) {
 	e.mu.Lock()
@@ -191,6 +228,12 @@
 	now := e.clock.Mono()
 	was := s.Down(now)
 	s.Fail(now)
+	if z := e.zone(s.Endpoint.Zone); !was && why == KindNotSent {
+		z.misses++
+		if z.misses >= cutMisses {
+			z.until = now + cutPause
+		}
+	}
 	if !was {
 		e.logger.Info("endpoint-out", "endpoint", s.Endpoint.ID, "address", s.Endpoint.Address, "why", why, "heard-ms", int64(now-s.LastHeard))
 	}
@@ -340,6 +383,19 @@
 	return p.retries.Take(e.clock.Mono())
 }
 
+// hasSpare reports whether enough of the budget is left for a repeat that could
+// be done without.
+func (e *endpoints) hasSpare(service ticket.ServiceName) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pool(service)
+	p.retries.Slack = e.limits.Load().RetrySlack * ownPart / float64(max(1, e.instances()))
+	return p.retries.Left(e.clock.Mono()) > sparePart
+}
+
+// sparePart is the part of the budget kept for repeats after failures.
+const sparePart = 0.2
+
 // hasRetry reports whether takeRetry would succeed.
 func (e *endpoints) hasRetry(service ticket.ServiceName) bool {
 	e.mu.Lock()
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -94,7 +94,7 @@
 	Left clock.Millis
 	// FirstBy bounds the wait for the answer's head.
 	FirstBy clock.Millis
-	// Waits is asked when FirstBy has passed, if it is set; true waits as long again.
+	// Waits is asked when FirstBy or a Gap has passed; true waits as long again.
 	Waits func() bool
 	// Once is true if the request may run only once.
 	Once bool
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/attempt"
@@ -209,7 +210,7 @@
 	t.last = s
 	t.sends++
 	t.tried = append(t.tried, s)
-	answer, err := t.parts.Sender.Send(ctx, t.outgoing(ctx, s))
+	answer, err := t.parts.Sender.Send(ctx, t.outgoing(ctx, r))
 	end := attempt.End{
 		Sent:       attempt.SentSome,
 		Repeatable: t.repeatable(),
@@ -250,7 +251,8 @@
 	return end, r
 }
 
-func (t *task) outgoing(ctx context.Context, s *placement.State) *Attempt {
+func (t *task) outgoing(ctx context.Context, r *run) *Attempt {
+	s := r.state
 	left := t.deadline - t.clock.Mono()
 	a := &Attempt{
 		Request: t.request, Endpoint: s.Endpoint, Workspace: t.workspace, Rank: t.rank, Model: t.model,
@@ -258,20 +260,33 @@
 		Gap: t.gap(), Once: !t.repeatable(),
 	}
 	if t.repeatable() && t.sends <= t.route.Attempts-1 {
-		sent, limit := t.clock.Mono(), t.patience()
-		a.FirstBy = min(left, limit)
-		// An engine that answers others is busy with long prompts, not dead.
-		a.Waits = func() bool {
-			now := t.clock.Mono()
-			if !t.route.Stream || now-sent >= t.limit(limit) {
-				return false
-			}
-			return now-t.endpoints.lastHeard(s) < limit || t.parts.Sender.Alive(ctx, s.Endpoint)
-		}
+		a.FirstBy = min(left, t.patience())
 	}
+	r.patience = a.FirstBy
+	a.Waits = func() bool { return t.route.Stream && r.waits(ctx) }
 	return a
 }
 
+// waits decides whether silence is waited out. An engine that answers others is
+// busy with long prompts, not dead; and without another place to go on there is
+// no use in ending an answer.
+func (r *run) waits(ctx context.Context) bool {
+	t := r.task
+	end := attempt.End{Sent: attempt.SentSome}
+	if !t.repeatable() || !t.another(&end) {
+		return true
+	}
+	now := t.clock.Mono()
+	since, patience, limit := r.sentAt, r.patience, t.limit(r.patience)
+	if at := clock.Millis(r.eventAt.Load()); at > 0 {
+		since, patience, limit = at, t.gap(), clock.Millis(pauseGaps*float64(t.route.GapGoal))
+	}
+	if now-since >= limit {
+		return false
+	}
+	return now-t.endpoints.lastHeard(r.state) < patience || t.parts.Sender.Alive(ctx, r.state.Endpoint)
+}
+
 const (
 	// slowRead is the prompt tokens that a busy engine reads in a millisecond.
 	slowRead = 8
@@ -292,8 +307,11 @@
 	silenceGoals = 0.4
 	// plainSilenceGoals is the same for plain requests, whose goal is short.
 	plainSilenceGoals = 2.5
-	// gapGoals is the part of the longest pause after which a stream goes on elsewhere.
-	gapGoals = 0.75
+	// gapGoals is the part of the longest pause after which a stream goes on
+	// elsewhere if its engine is silent, pauseGaps how many such pauses it may
+	// rest at an engine that answers others.
+	gapGoals  = 0.75
+	pauseGaps = 1.6
 )
 
 // patience is how long a repeatable request waits for an answer's head.
@@ -390,7 +408,7 @@
 	q := t.query()
 	q.Tried, q.Model, q.Effort = nil, larger, t.service.Engine.Effort(larger)
 	room := t.endpoints.peek(t.view, t.service, q)
-	if room.State == nil || t.runs >= t.route.Attempts || !t.endpoints.hasRetry(t.service.Name) {
+	if room.State == nil || t.runs >= t.route.Attempts || !t.endpoints.hasSpare(t.service.Name) {
 		return false
 	}
 	now := t.clock.Mono()
@@ -514,6 +532,7 @@
 			return err
 		}
 		events++
+		r.eventAt.Store(int64(t.clock.Mono()))
 		t.endpoints.touched(r.state)
 		if err := t.reply.Write(event.Raw); err != nil {
 			return errCaller
@@ -536,6 +555,10 @@
 	ended   bool
 	rated   bool
 	slow    bool
+	// patience is the wait for the answer's head.
+	patience clock.Millis
+	// eventAt is when the last event came; the sender's timer reads it too.
+	eventAt atomic.Int64
 }
 
 // first notes the answer's head.
@@ -565,7 +588,13 @@
 	if r.state.Endpoint.Release == t.progress.order.Target {
 		arm = evidence.ArmTo
 	}
-	t.parts.Relay.Rate(Series(t.progress.order, t.route.Name, arm), !failed && !r.slow)
+	series := Series(t.progress.order, t.route.Name, arm)
+	good := !failed && !r.slow
+	t.parts.Relay.Rate(series, good)
+	if !good && arm == evidence.ArmTo {
+		series.Endpoint = string(r.state.Endpoint.ID)
+		t.parts.Relay.Rate(series, false)
+	}
 }
 
 // Series names the evidence on one arm of an order for one route.
--- a/entry/relay/follow.go
+++ b/entry/relay/follow.go
@@ -18,8 +18,10 @@
 	rankStep = 500 * clock.Millis(1)
 	// rankSteps bounds the steps, so that the last member is not late itself.
 	rankSteps = 3
-	// startWait is how long a starting instance waits for its peers' knowledge.
-	startWait = 900 * clock.Millis(1)
+	// startWait is how long a starting instance waits for its peers' knowledge,
+	// firstWait the same when the whole installation starts and nobody calls yet.
+	startWait = 40 * clock.Millis(1)
+	firstWait = 900 * clock.Millis(1)
 	// lookPeriod is how often an instance looks whether it has to read.
 	lookPeriod = 100 * clock.Millis(1)
 	// firstBackoff and maxBackoff bound the pause after a failed read.
@@ -32,6 +34,8 @@
 
 // Follower reads the store's feeds when this instance's turn has come.
 type Follower struct {
+	// First is true if the whole installation starts for the first time.
+	First bool
 	// ReadAll returns all keys of a feed.
 	ReadAll func(ctx context.Context, feed registry.Feed) (registry.Batch, error)
 	// ReadSince returns the records behind an offset, and waits for one if wait
@@ -104,10 +108,14 @@
 // seeds read at once, so that the others need not.
 func (f *Follower) first() clock.Millis {
 	now := f.clock.Mono()
-	if f.relay.Seed() || now >= startWait {
+	wait := startWait
+	if f.First {
+		wait = firstWait
+	}
+	if f.relay.Seed() || now >= wait {
 		return 0
 	}
-	return min(lookPeriod, startWait-now)
+	return min(lookPeriod, wait-now)
 }
 
 func (f *Follower) read(ctx context.Context, feed registry.Feed) error {
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -73,20 +73,22 @@
 	For   ticket.RolloutName `json:"s"`
 	// Zone is set in the sum of a zone.
 	Zone ticket.ZoneName `json:"z,omitempty"`
-	Good int64           `json:"g"`
-	Bad  int64           `json:"b,omitempty"`
+	// Endpoint is set in the tally of one endpoint's bad answers.
+	Endpoint string `json:"e,omitempty"`
+	Good     int64  `json:"g,omitempty"`
+	Bad      int64  `json:"b,omitempty"`
 }
 
 func encodeRow(r evidence.Row, zone ticket.ZoneName) row {
 	return row{
 		Order: int64(r.Series.Number), Arm: r.Series.Arm, Route: r.Series.Class, For: r.Series.Rollout,
-		Zone: zone, Good: r.Tally.Good, Bad: r.Tally.Bad,
+		Zone: zone, Endpoint: r.Series.Endpoint, Good: r.Tally.Good, Bad: r.Tally.Bad,
 	}
 }
 
 // decode returns the row as counted in the name of an instance or zone.
 func (r row) decode(instance string) evidence.Row {
 	s := evidence.RolloutSeries(r.For, ticket.Number(r.Order), r.Arm)
-	s.Class = r.Route
+	s.Class, s.Endpoint = r.Route, r.Endpoint
 	return evidence.Row{Instance: instance, Series: s, Tally: evidence.Tally{Good: r.Good, Bad: r.Bad}}
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -430,6 +430,24 @@
 	return r.zones.Sum(series)
 }
 
+// BadEndpoints returns how many endpoints gave bad answers of a series.
+func (r *Relay) BadEndpoints(series evidence.Series) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.foldZone(r.members.self.Zone)
+	count := 0
+	r.zones.Each(func(s evidence.Series, tally evidence.Tally) {
+		if s.Endpoint == "" || tally.Bad == 0 {
+			return
+		}
+		s.Endpoint = ""
+		if s == series {
+			count++
+		}
+	})
+	return count
+}
+
 // Retain forgets evidence that keep rejects.
 func (r *Relay) Retain(keep func(evidence.Series) bool) {
 	r.mu.Lock()
--- /dev/null
+++ b/policy/cascade/confidence_test.go
@@ -0,0 +1,60 @@
+package cascade
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestEscalate names the load: a day at which long audits, notes and short tags
+// share engines that fill up.
+func TestEscalate(t *testing.T) {
+	audit := Doubt{Value: Value(0, 12500, 12500), Price: Price(0.24, 12000, 380), LeftWhole: 10000}
+	tag := Doubt{Value: Value(2, 2400, 2400), Price: Price(0.24, 2370, 22), LeftWhole: 10000}
+	rows := []struct {
+		name string
+		base Doubt
+		with Confidence
+		fill float64
+		want bool
+	}{
+		{"a long urgent answer in doubt", audit, 50, 0.2, true},
+		{"a long urgent answer that is likely good", audit, 75, 0.2, false},
+		{"a short answer in the same doubt is not worth the price", tag, 50, 0.2, false},
+		{"a short answer that is very likely poor", tag, 25, 0.2, true},
+		{"the same when the engines are full", tag, 40, 1, false},
+		{"a long urgent answer, likely poor, engines full", audit, 30, 1, true},
+		{"no opinion", audit, ConfidenceUnknown, 0, false},
+	}
+	Convey("An answer is made again where that is worth its price", t, func() {
+		for _, row := range rows {
+			d := row.base
+			d.Confidence, d.Fill = row.with, row.fill
+			SoMsg(row.name, d.Escalate(), ShouldEqual, row.want)
+		}
+	})
+	Convey("Not if it would come too late, in part or as a whole", t, func() {
+		d := audit
+		d.Confidence = 10
+		d.Left, d.Expected = 300, 400
+		So(d.Escalate(), ShouldBeFalse)
+		d.Left, d.Whole = 500, 9000
+		So(d.Escalate(), ShouldBeFalse)
+		d.Whole = 3000
+		So(d.Escalate(), ShouldBeTrue)
+	})
+	Convey("More load never makes an escalation more likely", t, func() {
+		for c := Confidence(0); c <= 100; c += 5 {
+			for _, base := range []Doubt{audit, tag} {
+				was := true
+				for fill := 0.0; fill <= 1.5; fill += 0.1 {
+					d := base
+					d.Confidence, d.Fill = c, fill
+					now := d.Escalate()
+					So(now && !was, ShouldBeFalse)
+					was = now
+				}
+			}
+		}
+	})
+}
--- a/policy/evidence/evidence.go
+++ b/policy/evidence/evidence.go
@@ -18,6 +18,8 @@
 	Class     ticket.Class
 	Version   ticket.VersionRef
 	Epoch     Epoch
+	// Endpoint is set in the tally of one endpoint's bad answers.
+	Endpoint string
 }
 
 // Arm is one side of a roll-out.
@@ -60,6 +62,7 @@
 		cmp.Compare(s.Workspace, other.Workspace),
 		cmp.Compare(s.Class, other.Class),
 		cmp.Compare(s.Version, other.Version),
+		cmp.Compare(s.Endpoint, other.Endpoint),
 	)
 }
 
@@ -206,6 +209,13 @@
 	return c.sums[series]
 }
 
+// Each calls yield for every series with its tally over all instances.
+func (c *Counters) Each(yield func(Series, Tally)) {
+	for series, tally := range c.sums {
+		yield(series, tally)
+	}
+}
+
 // Own returns this instance's tally.
 func (c *Counters) Own(series Series) Tally {
 	return c.cells[cell{c.self, series}].tally
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -25,6 +25,8 @@
 	Size int
 	// Accept filters endpoints, by view and release.
 	Accept func(*catalog.Endpoint) bool
+	// CutOff reports whether a zone cannot be reached now, if it is set.
+	CutOff func(ticket.ZoneName) bool
 	// Tried holds endpoints that must not get the request again.
 	Tried []*State
 	// ColdRate is this machine's part of the rate that a cold endpoint bears, in 1/s.
@@ -129,7 +131,7 @@
 		}
 	}
 	switch {
-	case s.Down(q.Now):
+	case s.Down(q.Now), q.CutOff != nil && q.CutOff(s.Endpoint.Zone):
 		return routing.ReasonDown
 	case s.misses > 0 && !q.Risky:
 		return routing.ReasonDown
@@ -179,7 +181,7 @@
 	var best *State
 	var bestWeight uint64
 	for _, s := range states {
-		if s.Down(q.Now) || s.Cold(q.Now) || !q.Accept(s.Endpoint) {
+		if s.Down(q.Now) || s.Cold(q.Now) || !q.Accept(s.Endpoint) || q.CutOff != nil && q.CutOff(s.Endpoint.Zone) {
 			continue
 		}
 		if w := routing.Weight(key, string(s.Endpoint.ID)); best == nil || w > bestWeight {
--- a/policy/rollout/canary.go
+++ b/policy/rollout/canary.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"math"
+
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
 )
@@ -54,6 +56,25 @@
 	return elapsed*2 < span
 }
 
+const (
+	// spreadShare is the share of the endpoints reached that must have given bad
+	// answers before a release is blamed: a few sick endpoints are no release.
+	spreadShare = 0.33
+	// leastSpread is how many endpoints that are at least, if there are so many.
+	leastSpread = 2
+)
+
+// Spread reports whether bad answers come from so many of a release's endpoints
+// that the release is at fault. answers is the number of answers of the release.
+func Spread(bad, endpoints int, answers int64) bool {
+	if endpoints <= 1 {
+		return bad > 0
+	}
+	// So many answers reach so many endpoints, if they fall at random.
+	reached := float64(endpoints) * (1 - math.Pow(1-1/float64(endpoints), float64(answers)))
+	return bad >= leastSpread && float64(bad) >= spreadShare*reached
+}
+
 // JudgeSpans judges the new release by several spans of evidence, so that a
 // release that turns bad late is not excused by what came before.
 func JudgeSpans(from, to []evidence.Tally, prior float64) Verdict {
--- a/policy/share/share.go
+++ b/policy/share/share.go
@@ -105,6 +105,15 @@
 	return true
 }
 
+// Left returns the part of the limit that is not used up.
+func (r *Retries) Left(now clock.Millis) float64 {
+	allowed := r.Ratio*float64(r.requests.Sum(r.Span, now)) + r.Slack
+	if allowed <= 0 {
+		return 0
+	}
+	return 1 - float64(r.repeats.Sum(r.Span, now)+1)/allowed
+}
+
 // Has reports whether Take would succeed.
 func (r *Retries) Has(now clock.Millis) bool {
 	allowed := r.Ratio*float64(r.requests.Sum(r.Span, now)) + r.Slack
--- /dev/null
+++ b/policy/share/share_test.go
@@ -0,0 +1,57 @@
+package share
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"foxtailbridge/policy/clock"
+)
+
+// TestBucketsTogether checks the bound of a cold endpoint: what all instances
+// send in any second stays within the rate and a burst each.
+func TestBucketsTogether(t *testing.T) {
+	t.Run("any instances, any arrivals", rapid.MakeCheck(func(t *rapid.T) {
+		instances := rapid.IntRange(1, 9).Draw(t, "instances")
+		const rate = 17.0
+		buckets := make([]Bucket, instances)
+		var sent []clock.Millis
+		now := clock.Millis(0)
+		for range 400 {
+			now += clock.Millis(rapid.IntRange(0, 20).Draw(t, "gap"))
+			if buckets[rapid.IntRange(0, instances-1).Draw(t, "instance")].Take(rate/float64(instances), 1, now) {
+				sent = append(sent, now)
+			}
+		}
+		for i, from := range sent {
+			in := 0
+			for _, at := range sent[i:] {
+				if at < from+clock.Second {
+					in++
+				}
+			}
+			if in > int(rate)+instances+1 {
+				t.Fatalf("%d requests in a second of %d instances", in, instances)
+			}
+		}
+	}))
+}
+
+func TestRetries(t *testing.T) {
+	Convey("Repeats are a share of the requests and a slack, over a sliding span", t, func() {
+		r := &Retries{Ratio: 0.5, Slack: 2, Span: 10 * clock.Second}
+		now := clock.Millis(0)
+		So(r.Take(now), ShouldBeTrue)
+		So(r.Take(now), ShouldBeTrue)
+		So(r.Take(now), ShouldBeFalse)
+		for range 4 {
+			r.Note(now)
+		}
+		So(r.Take(now), ShouldBeTrue)
+		So(r.Take(now), ShouldBeTrue)
+		So(r.Take(now), ShouldBeFalse)
+		now += 11 * clock.Second
+		So(r.Take(now), ShouldBeTrue)
+	})
+}
