--- /dev/null
+++ b/entry/registry/registry_test.go
@@ -0,0 +1,184 @@
+package registry
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"foxtailbridge/policy/catalog"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/routing"
+	"foxtailbridge/policy/ticket"
+)
+
+// decode reads test records: "config N", "out", "ID born sequence state", "torn".
+func decode(r *Record) (Fact, error) {
+	f := strings.Fields(string(r.Value))
+	switch {
+	case f[0] == "torn":
+		return Fact{}, errors.New("torn")
+	case f[0] == "config":
+		n, _ := strconv.Atoi(f[1])
+		return Fact{Config: catalog.NewConfig(catalog.Revision(n), nil, nil, nil, false, catalog.Limits{})}, nil
+	case f[0] == "out":
+		return Fact{ZoneOut: ticket.ZoneName(r.Key)}, nil
+	}
+	born, _ := strconv.Atoi(f[0])
+	sequence, _ := strconv.Atoi(f[1])
+	return Fact{Endpoint: &catalog.Endpoint{
+		ID: routing.EndpointID(r.Key), Born: clock.Millis(born), Sequence: int64(sequence), Service: "s", Slots: 1, Leaving: f[2] == "leaving",
+	}}, nil
+}
+
+type fixture struct {
+	*Registry
+	now clock.Millis
+}
+
+func newFixture() *fixture {
+	f := &fixture{now: 100 * clock.Second}
+	f.Registry = New(&clock.Clock{Mono: func() clock.Millis { return f.now }}, hclog.NewNullLogger())
+	f.Decode = decode
+	return f
+}
+
+func endpoint(id string, offset Offset, value string) Record {
+	return Record{Feed: FeedEndpoints, Key: id, Offset: offset, Value: []byte(value), Gone: value == ""}
+}
+
+func (f *fixture) endpoints(head Offset, records ...Record) {
+	from, _ := f.Head(FeedEndpoints)
+	f.Merge(Batch{Feed: FeedEndpoints, Records: records, From: from, Head: head})
+}
+
+func (f *fixture) ids() string {
+	var list []string
+	for _, e := range f.View().Endpoints["s"] {
+		list = append(list, string(e.ID))
+	}
+	return strings.Join(list, " ")
+}
+
+// TestMergeInAnyOrder is the property that lets records come from the store or
+// from any peer: the view depends on the records alone.
+func TestMergeInAnyOrder(t *testing.T) {
+	t.Run("any order, any repeats", rapid.MakeCheck(func(t *rapid.T) {
+		count := rapid.IntRange(1, 12).Draw(t, "count")
+		var log []Record
+		for i := range count {
+			key := rapid.SampledFrom([]string{"config", "z1", "z2"}).Draw(t, "key")
+			r := Record{Feed: FeedOrders, Key: key, Offset: Offset(i)}
+			switch {
+			case key == "config":
+				r.Value = []byte("config " + strconv.Itoa(i))
+			case rapid.Bool().Draw(t, "gone"):
+				r.Gone = true
+			default:
+				r.Value = []byte("out")
+			}
+			log = append(log, r)
+		}
+		inOrder, shuffled := newFixture(), newFixture()
+		inOrder.Merge(Batch{Feed: FeedOrders, Records: log, Head: Offset(count)})
+		order := rapid.Permutation(log).Draw(t, "order")
+		for _, r := range append(order, order[0]) {
+			shuffled.Merge(Batch{Feed: FeedOrders, Records: []Record{r}, From: r.Offset, Head: r.Offset + 1})
+		}
+		a, b := inOrder.View(), shuffled.View()
+		if (a.Config == nil) != (b.Config == nil) || a.Config != nil && a.Config.Revision != b.Config.Revision {
+			t.Fatal("configurations differ")
+		}
+		if len(a.Out) != len(b.Out) || a.Out["z1"] != b.Out["z1"] {
+			t.Fatalf("zones differ: %v %v", a.Out, b.Out)
+		}
+	}))
+}
+
+func TestKnowledge(t *testing.T) {
+	Convey("A batch that leaves a gap brings its records but confirms nothing", t, func() {
+		f := newFixture()
+		f.endpoints(3, endpoint("a", 0, "1 1 ready"))
+		f.now += 5 * clock.Second
+		f.Merge(Batch{Feed: FeedEndpoints, Records: []Record{endpoint("c", 9, "1 1 ready")}, From: 7, Head: 10})
+		head, _ := f.Head(FeedEndpoints)
+		So(head, ShouldEqual, 3)
+		So(f.ids(), ShouldEqual, "a c")
+		So(f.Age(FeedEndpoints), ShouldEqual, 5*clock.Second)
+	})
+	Convey("Torn and forged entries are skipped, the others hold", t, func() {
+		f := newFixture()
+		f.endpoints(2, endpoint("a", 0, "1 5 ready"), endpoint("b", 1, "1 1 ready"))
+		f.endpoints(4, endpoint("a", 2, "torn"), endpoint("b", 3, "1 2 leaving"))
+		So(f.ids(), ShouldEqual, "a b")
+		So(f.View().Endpoints["s"][1].Leaving, ShouldBeTrue)
+	})
+	Convey("An old beat changes nothing, a new start under an old id is a new endpoint", t, func() {
+		f := newFixture()
+		f.endpoints(1, endpoint("a", 0, "1 5 leaving"))
+		f.endpoints(2, endpoint("a", 1, "1 4 ready"))
+		So(f.View().Endpoints["s"][0].Leaving, ShouldBeTrue)
+		f.endpoints(3, endpoint("a", 2, "2 1 ready"))
+		So(f.View().Endpoints["s"][0].Born, ShouldEqual, 2)
+		So(f.View().Endpoints["s"][0].Leaving, ShouldBeFalse)
+	})
+	Convey("Beats that say the same are not passed on", t, func() {
+		f := newFixture()
+		f.endpoints(1, endpoint("a", 0, "1 1 ready"))
+		f.endpoints(9, endpoint("a", 8, "1 2 ready"))
+		batches := f.Since(map[Feed]Offset{FeedEndpoints: 1})
+		So(batches[0].Head, ShouldEqual, 9)
+		So(batches[0].Records, ShouldBeEmpty)
+	})
+	Convey("An entry that is dropped is gone at once while the store is dependable", t, func() {
+		f := newFixture()
+		f.endpoints(1, endpoint("a", 0, "1 1 ready"))
+		f.endpoints(2, endpoint("a", 1, ""))
+		So(f.ids(), ShouldEqual, "")
+	})
+	Convey("An entry that ran out during an outage has two seconds to come back", t, func() {
+		f := newFixture()
+		f.endpoints(2, endpoint("a", 0, "1 1 ready"), endpoint("b", 1, "1 1 ready"))
+		f.now += 6 * clock.Second
+		f.endpoints(4, endpoint("a", 2, ""), endpoint("b", 3, ""))
+		So(f.ids(), ShouldEqual, "a b")
+		f.now += clock.Second
+		f.endpoints(5, endpoint("b", 4, "1 9 ready"))
+		f.Tick()
+		So(f.ids(), ShouldEqual, "a b")
+		f.now += 1100
+		f.endpoints(5)
+		f.Tick()
+		So(f.ids(), ShouldEqual, "b")
+	})
+	Convey("A listing drops what it lacks, unless that is newer than the listing", t, func() {
+		f := newFixture()
+		f.endpoints(3, endpoint("a", 0, "1 1 ready"), endpoint("b", 2, "1 1 ready"))
+		f.Merge(Batch{Feed: FeedEndpoints, Whole: true, Head: 2})
+		So(f.ids(), ShouldEqual, "b")
+	})
+	Convey("After a freeze nothing counts as confirmed", t, func() {
+		f := newFixture()
+		f.endpoints(1)
+		f.Doubt()
+		So(f.Age(FeedEndpoints), ShouldEqual, Never)
+	})
+	Convey("A zone that takes work again stays cold until its endpoints have told", t, func() {
+		f := newFixture()
+		f.Merge(Batch{Feed: FeedOrders, Records: []Record{{Key: "z1", Value: []byte("out")}}, Head: 1})
+		So(f.View().Out["z1"], ShouldBeTrue)
+		f.Merge(Batch{Feed: FeedOrders, Records: []Record{{Key: "z1", Offset: 1, Gone: true}}, From: 1, Head: 2})
+		So(f.View().Out["z1"], ShouldBeFalse)
+		So(f.View().Chilled["z1"], ShouldBeGreaterThan, f.now)
+	})
+	Convey("A configuration that is deleted stays in force", t, func() {
+		f := newFixture()
+		f.Merge(Batch{Feed: FeedOrders, Records: []Record{{Key: "config", Value: []byte("config 7")}}, Head: 1})
+		f.Merge(Batch{Feed: FeedOrders, Records: []Record{{Key: "config", Offset: 1, Gone: true}}, From: 1, Head: 2})
+		So(f.View().Config.Revision, ShouldEqual, 7)
+	})
+}
--- /dev/null
+++ b/entry/relay/relay_test.go
@@ -0,0 +1,240 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
+
+	"foxtailbridge/entry/registry"
+	"foxtailbridge/policy/catalog"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/evidence"
+	"foxtailbridge/policy/quarantine"
+	"foxtailbridge/policy/ticket"
+)
+
+// fleet is a number of relays in one process, over a network with cuts.
+type fleet struct {
+	handlers map[string]http.Handler
+	relays   []*Relay
+	stores   []*registry.Registry
+	// cut reports whether two addresses cannot reach each other.
+	cut func(from, to string) bool
+	// deaf reports whether the store turns an instance away.
+	deaf  func(name string) bool
+	reads atomic.Int64
+	// offset is the end of the orders feed at the store.
+	offset atomic.Int64
+}
+
+var errCutOff = errors.New("cut off")
+
+// wire is an http client of one instance.
+type wire struct {
+	fleet *fleet
+	from  string
+}
+
+func (w wire) Do(r *http.Request) (*http.Response, error) {
+	if w.fleet.cut(w.from, r.URL.Host) || w.fleet.handlers[r.URL.Host] == nil {
+		return nil, errCutOff
+	}
+	recorder := httptest.NewRecorder()
+	w.fleet.handlers[r.URL.Host].ServeHTTP(recorder, r)
+	return recorder.Result(), nil
+}
+
+func newFleet(ctx context.Context, zones, perZone int) *fleet {
+	f := &fleet{handlers: map[string]http.Handler{}, cut: func(string, string) bool { return false }, deaf: func(string) bool { return false }}
+	f.offset.Store(1)
+	seeds := []string{"z0-0", "z1-0"}
+	for z := range zones {
+		for i := range perZone {
+			f.add(ctx, ticket.ZoneName(fmt.Sprint("z", z)), fmt.Sprintf("z%d-%d", z, i), seeds)
+		}
+	}
+	return f
+}
+
+func (f *fleet) add(ctx context.Context, zone ticket.ZoneName, name string, seeds []string) {
+	c := clock.New()
+	store := registry.New(c, hclog.NewNullLogger())
+	store.Decode = func(r *registry.Record) (registry.Fact, error) {
+		return registry.Fact{Config: catalog.NewConfig(catalog.Revision(r.Offset), nil, nil, nil, false, catalog.Limits{})}, nil
+	}
+	relay := New(Member{Name: name, Zone: zone, Address: name, Run: "1"}, seeds, Parts{
+		Registry: store, Client: wire{f, name}, Clock: c, Random: rand.New(rand.NewPCG(1, 2)), Logger: hclog.NewNullLogger(), Scope: tally.NoopScope,
+	})
+	path, handler := relay.Handler()
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	f.handlers[name] = mux
+	f.relays = append(f.relays, relay)
+	f.stores = append(f.stores, store)
+	follower := NewFollower(relay)
+	follower.ReadAll = func(_ context.Context, feed registry.Feed) (registry.Batch, error) { return f.read(name, feed, 0, true) }
+	follower.ReadSince = func(ctx context.Context, feed registry.Feed, from registry.Offset, wait clock.Millis) (registry.Batch, bool, error) {
+		until := time.Now().Add(wait.Duration())
+		for registry.Offset(f.offset.Load()) <= from && time.Now().Before(until) && ctx.Err() == nil {
+			time.Sleep(5 * time.Millisecond)
+		}
+		b, err := f.read(name, feed, from, false)
+		return b, false, err
+	}
+	go relay.Run(ctx)
+	for _, feed := range registry.Feeds {
+		go follower.Run(ctx, feed)
+	}
+}
+
+func (f *fleet) read(name string, feed registry.Feed, from registry.Offset, whole bool) (registry.Batch, error) {
+	f.reads.Add(1)
+	if f.deaf(name) {
+		return registry.Batch{}, errCutOff
+	}
+	b := registry.Batch{Feed: feed, From: from, Whole: whole}
+	if feed == registry.FeedOrders {
+		b.Head = registry.Offset(f.offset.Load())
+		if b.Head > from {
+			b.Records = []registry.Record{{Feed: feed, Key: "config", Offset: b.Head - 1, Value: []byte("x")}}
+		}
+	}
+	return b, nil
+}
+
+func (f *fleet) behind(revision catalog.Revision) int {
+	count := 0
+	for _, s := range f.stores {
+		if c := s.View().Config; c == nil || c.Revision < revision {
+			count++
+		}
+	}
+	return count
+}
+
+// inBubble runs a test in virtual time and ends the fleet with it.
+func inBubble(t *testing.T, run func(ctx context.Context)) {
+	synctest.Test(t, func(_ *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		run(ctx)
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+func TestNewestConfiguration(t *testing.T) {
+	rows := []struct {
+		name   string
+		cut    func(from, to string) bool
+		deaf   func(name string) bool
+		within time.Duration
+		left   int
+	}{
+		{"calm", nil, nil, 700 * time.Millisecond, 0},
+		{"the store turns a third of the machines away", nil, func(n string) bool { return n[3] == '0' || n == "z0-1" }, 1900 * time.Millisecond, 0},
+		{"a whole zone is turned away", nil, func(n string) bool { return n[:2] == "z1" }, 1900 * time.Millisecond, 0},
+		{"two zones cannot reach each other and one has no store", func(from, to string) bool {
+			return from[:2] != to[:2] && from[:2] != "z2" && to[:2] != "z2"
+		}, func(n string) bool { return n[:2] == "z1" }, 1900 * time.Millisecond, 0},
+		{"one machine is cut from the others, not from the store", func(from, to string) bool { return from == "z0-2" || to == "z0-2" }, nil, 1900 * time.Millisecond, 0},
+		{"one machine is cut from all", func(from, to string) bool { return from == "z0-2" || to == "z0-2" }, func(n string) bool { return n == "z0-2" }, 1900 * time.Millisecond, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			inBubble(t, func(ctx context.Context) {
+				f := newFleet(ctx, 3, 3)
+				time.Sleep(4 * time.Second)
+				if row.cut != nil {
+					f.cut = row.cut
+				}
+				if row.deaf != nil {
+					f.deaf = row.deaf
+				}
+				time.Sleep(5 * time.Second)
+				f.offset.Add(1)
+				time.Sleep(row.within)
+				if n := f.behind(1); n != row.left {
+					t.Errorf("%d instances lack the newest configuration after %v", n, row.within)
+				}
+			})
+		})
+	}
+}
+
+// TestCallsToTheStore bounds what the fleet asks the store for: the readers' calls,
+// whatever the number of machines in a zone.
+func TestCallsToTheStore(t *testing.T) {
+	inBubble(t, func(ctx context.Context) {
+		f := newFleet(ctx, 3, 12)
+		time.Sleep(5 * time.Second)
+		before := f.reads.Load()
+		time.Sleep(20 * time.Second)
+		calls := float64(f.reads.Load()-before) / 20
+		// A zone's reader reads endpoints each 0.8 s and orders each 1.5 s.
+		if calls > 3*2.2 {
+			t.Errorf("%.1f calls a second for three zones", calls)
+		}
+	})
+}
+
+func TestEvidence(t *testing.T) {
+	Convey("Readers sum their zones, and a new reader does not count twice", t, func() {
+		inBubble(t, func(ctx context.Context) {
+			f := newFleet(ctx, 2, 3)
+			time.Sleep(4 * time.Second)
+			series := evidence.RolloutSeries("s", 7, evidence.ArmTo)
+			for _, r := range f.relays {
+				r.Rate(series, false)
+				r.Rate(series, true)
+			}
+			time.Sleep(2 * time.Second)
+			check := func(want int64) {
+				for _, r := range f.relays {
+					if r.Rank() == 0 && f.handlers[r.Self().Name] != nil {
+						if got := r.Sum(series); got.Bad != want || got.Good != want {
+							t.Errorf("%s counts %+v, want %d", r.Self().Name, got, want)
+						}
+					}
+				}
+			}
+			check(6)
+			for _, r := range f.relays {
+				if r.Rank() == 0 && r.Self().Zone == "z0" {
+					delete(f.handlers, r.Self().Name)
+					dead := r.Self().Name
+					f.cut = func(from, to string) bool { return from == dead || to == dead }
+				}
+			}
+			time.Sleep(8 * time.Second)
+			check(6)
+		})
+	})
+}
+
+func TestSuspicions(t *testing.T) {
+	inBubble(t, func(ctx context.Context) {
+		f := newFleet(ctx, 3, 3)
+		time.Sleep(4 * time.Second)
+		for i := range 3 {
+			f.relays[i*3].Suspect(quarantine.Suspicion{Digest: "d", Crash: quarantine.Crash(fmt.Sprint("e", i))})
+		}
+		f.relays[4].Stop(9, "evidence")
+		time.Sleep(1500 * time.Millisecond)
+		for _, r := range f.relays {
+			if r.Judge("d") != quarantine.VerdictQuarantined || !r.Stopped(9) {
+				t.Errorf("%s has not heard", r.Self().Name)
+			}
+		}
+	})
+}
