Test the pipeline: ends, streams, poison, orders between attempts, month-end load

Found and mended: for two seconds after its start an instance took endpoints that had left for lapsed, and sent to them (TestWorkKeepsToOrders failed first).

--- /dev/null
+++ b/entry/forward/forward_test.go
@@ -0,0 +1,395 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"foxtailbridge/entry/registry"
+	"foxtailbridge/entry/relay"
+	"foxtailbridge/policy/cascade"
+	"foxtailbridge/policy/catalog"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/fault"
+	"foxtailbridge/policy/placement"
+	"foxtailbridge/policy/quarantine"
+	"foxtailbridge/policy/routing"
+	"foxtailbridge/policy/ticket"
+)
+
+// bench is a forwarder over endpoints that a test scripts.
+type bench struct {
+	*Forwarder
+	registry *registry.Registry
+	relay    *relay.Relay
+	// answer scripts each send, counted from 1.
+	answer func(n int, a *Attempt) (*Answer, error)
+	sent   []*Attempt
+	dead   map[routing.EndpointID]bool
+	offset registry.Offset
+}
+
+const (
+	small = ticket.ModelName("small")
+	large = ticket.ModelName("large")
+)
+
+var routes = []*catalog.Route{
+	{Name: "once", Host: "h", Prefix: "/once/", Split: split("plain"), Repeat: catalog.RepeatNever, Timeout: 800, Goal: 100, Attempts: 1, Rank: 2},
+	{Name: "safe", Host: "h", Prefix: "/safe/", Split: split("plain"), Repeat: catalog.RepeatFreely, Timeout: 800, Goal: 100, Attempts: 2, Rank: 2},
+	{Name: "note", Host: "h", Prefix: "/note/", Split: split("engines"), Repeat: catalog.RepeatNever, Stream: true, Resumable: true, Timeout: 15000, Goal: 2000, GapGoal: 1000, Attempts: 3, Ladder: []ticket.ModelName{small, large}},
+	{Name: "open", Host: "h", Prefix: "/open/", Split: split("plain"), Repeat: catalog.RepeatFreely, Timeout: 800, Goal: 100, Attempts: 2, Public: true},
+}
+
+func split(service ticket.ServiceName) []catalog.Weighted {
+	return []catalog.Weighted{{Service: service, Weight: 1}}
+}
+
+func config(keys ...catalog.Key) *catalog.Config {
+	services := []*catalog.Service{
+		{Name: "plain"},
+		{Name: "engines", ColdRate: 17, ColdSpan: 3000, Engine: &catalog.Engine{Stride: 7, Models: []catalog.Model{{Name: small, Cost: 0.016}, {Name: large, Cost: 0.24}}}},
+	}
+	return catalog.NewConfig(1, routes, services, []*catalog.Workspace{{Name: "w", Keys: keys}}, true, catalog.Limits{})
+}
+
+func newBench() *bench {
+	b := &bench{dead: map[routing.EndpointID]bool{}}
+	c := clock.New()
+	b.registry = registry.New(c, hclog.NewNullLogger())
+	facts := map[string]registry.Fact{}
+	b.registry.Decode = func(r *registry.Record) (registry.Fact, error) { return facts[r.Key+string(r.Value)], nil }
+	b.relay = relay.New(relay.Member{Name: "i", Zone: "a", Run: "1"}, nil, relay.Parts{
+		Registry: b.registry, Clock: c, Random: rand.New(rand.NewPCG(1, 2)), Logger: hclog.NewNullLogger(), Scope: tally.NoopScope,
+	})
+	limits := &Limits{Zone: "a", RetryRatio: 0.9, RetrySlack: 58, RetrySpan: 10000, Exposure: 0.15, SessionSpan: 5000, Confirmed: 3000}
+	b.Forwarder = New(limits, Parts{
+		Registry: b.registry, Relay: b.relay, Clock: c, Random: rand.New(rand.NewPCG(1, 2)), Logger: hclog.NewNullLogger(), Scope: tally.NoopScope,
+		Sender: Sender{
+			Send: func(_ context.Context, a *Attempt) (*Answer, error) {
+				b.sent = append(b.sent, a)
+				return b.answer(len(b.sent), a)
+			},
+			Alive: func(_ context.Context, e *catalog.Endpoint) bool { return !b.dead[e.ID] },
+		},
+	})
+	facts["configx"] = registry.Fact{Config: config("key")}
+	b.registry.Merge(registry.Batch{Feed: registry.FeedOrders, Records: []registry.Record{{Key: "config", Value: []byte("x")}}, Head: 1})
+	var records []registry.Record
+	for i := range 4 {
+		for _, service := range []ticket.ServiceName{"plain", "engines"} {
+			id := fmt.Sprint(service, i)
+			facts[id+"x"] = registry.Fact{Endpoint: &catalog.Endpoint{ID: routing.EndpointID(id), Born: 1, Service: service, Zone: "a", Release: "v1", Slots: 6}}
+			records = append(records, registry.Record{Key: id, Value: []byte("x"), Offset: registry.Offset(len(records))})
+		}
+	}
+	b.registry.Merge(registry.Batch{Feed: registry.FeedEndpoints, Records: records, Head: registry.Offset(len(records))})
+	return b
+}
+
+// caller collects what a caller sees.
+type caller struct {
+	Result
+	events string
+	begun  int
+}
+
+func (b *bench) serve(ctx context.Context, path string, change func(*Request)) *caller {
+	r := &Request{
+		ID: "r1", Method: http.MethodPost, Host: "h", Path: path, Target: path, Body: []byte("body"), Key: "key",
+		Began: b.clock.Mono(), AnyModel: true, Write: 300, Parts: []placement.Part{{ID: "s", Tokens: 5000}, {ID: "own", Tokens: 6000}},
+	}
+	if change != nil {
+		change(r)
+	}
+	c := &caller{}
+	c.Result = b.Serve(ctx, r, Reply{
+		Begin: func(int, http.Header) { c.begun++ },
+		Write: func(raw []byte) error { c.events += string(raw); return nil },
+	})
+	return c
+}
+
+func whole(status int) *Answer {
+	return &Answer{Status: status, Confidence: cascade.ConfidenceUnknown, Body: []byte("ok"), Close: func() {}}
+}
+
+func turnedAway() *Answer {
+	a := whole(http.StatusServiceUnavailable)
+	a.NotRun = true
+	return a
+}
+
+// stream answers with the events of the names, and then with the error.
+func stream(confidence cascade.Confidence, end error, names ...string) *Answer {
+	at := 0
+	return &Answer{
+		Status: http.StatusOK, Confidence: confidence, Close: func() {},
+		Next: func() (Event, error) {
+			if at == len(names) {
+				return Event{}, end
+			}
+			at++
+			return Event{ID: EventID(names[at-1]), Raw: []byte(names[at-1] + ";")}, nil
+		},
+	}
+}
+
+func failure(kind Kind) error { return fault.New("send", kind, "scripted") }
+
+func TestEnds(t *testing.T) {
+	rows := []struct {
+		name   string
+		path   string
+		answer func(n int, a *Attempt) (*Answer, error)
+		status int
+		sends  int
+		own    bool
+	}{
+		{"served", "/once/x", func(int, *Attempt) (*Answer, error) { return whole(200), nil }, 200, 1, false},
+		{"may run once and breaks: no promise, no repeat", "/once/x", func(int, *Attempt) (*Answer, error) { return nil, failure(KindBroken) }, 502, 1, true},
+		{"may run once and was never sent: another endpoint", "/once/x", func(n int, _ *Attempt) (*Answer, error) {
+			if n == 1 {
+				return nil, failure(KindNotSent)
+			}
+			return whole(200), nil
+		}, 200, 2, false},
+		{"turned away everywhere: a true refusal", "/once/x", func(int, *Attempt) (*Answer, error) { return turnedAway(), nil }, 503, 3, true},
+		{"may repeat and breaks: repeated", "/safe/x", func(n int, _ *Attempt) (*Answer, error) {
+			if n == 1 {
+				return nil, failure(KindBroken)
+			}
+			return whole(200), nil
+		}, 200, 2, false},
+		{"may repeat and breaks twice: attempts are used up", "/safe/x", func(int, *Attempt) (*Answer, error) { return nil, failure(KindBroken) }, 502, 2, true},
+		{"ran once, turned away then: no promise", "/safe/x", func(n int, _ *Attempt) (*Answer, error) {
+			if n == 1 {
+				return nil, failure(KindBroken)
+			}
+			return turnedAway(), nil
+		}, 502, 4, true},
+		{"the endpoint's own failure is passed on", "/safe/x", func(int, *Attempt) (*Answer, error) { return whole(500), nil }, 500, 1, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				b.answer = row.answer
+				c := b.serve(t.Context(), row.path, nil)
+				if c.Status != row.status || len(b.sent) != row.sends || c.Own != row.own {
+					t.Errorf("status %d, sends %d, own %v; want %d, %d, %v", c.Status, len(b.sent), c.Own, row.status, row.sends, row.own)
+				}
+				if c.Status == 503 && c.RetryAfter == 0 {
+					t.Error("a refusal without Retry-After")
+				}
+			})
+		})
+	}
+}
+
+func TestAdmit(t *testing.T) {
+	rows := []struct {
+		name   string
+		path   string
+		key    catalog.Key
+		wait   time.Duration
+		status int
+	}{
+		{"no such route", "/none/x", "key", 0, 404},
+		{"no such key", "/safe/x", "bad", 0, 401},
+		{"a public route needs no key", "/open/x", "", 0, 200},
+		{"an old view does not say that a route is missing", "/none/x", "key", 4 * time.Second, 503},
+		{"an old view does not say that a key is wrong", "/safe/x", "bad", 4 * time.Second, 503},
+		{"an old view serves what it knows", "/safe/x", "key", 4 * time.Second, 200},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				b.answer = func(int, *Attempt) (*Answer, error) { return whole(200), nil }
+				time.Sleep(row.wait)
+				if c := b.serve(t.Context(), row.path, func(r *Request) { r.Key = row.key }); c.Status != row.status {
+					t.Errorf("status %d, want %d", c.Status, row.status)
+				}
+			})
+		})
+	}
+}
+
+func TestStreams(t *testing.T) {
+	rows := []struct {
+		name   string
+		answer func(n int, a *Attempt) (*Answer, error)
+		events string
+		cut    bool
+		models string
+		after  EventID
+	}{
+		{"a sure small answer is delivered", func(int, *Attempt) (*Answer, error) { return stream(90, io.EOF, "1", "2"), nil }, "1;2;", false, "small", ""},
+		{"an unsure one is made again by the largest model", func(_ int, a *Attempt) (*Answer, error) {
+			if a.Model == small {
+				return stream(10, io.EOF, "bad"), nil
+			}
+			return stream(80, io.EOF, "1", "2"), nil
+		}, "1;2;", false, "small large", ""},
+		{"a cut stream goes on behind its last whole event, on the same model", func(n int, _ *Attempt) (*Answer, error) {
+			if n == 1 {
+				return stream(90, failure(KindBroken), "1", "2"), nil
+			}
+			return stream(5, io.EOF, "3"), nil
+		}, "1;2;3;", false, "small small", "2"},
+		{"a stream that cannot go on is cut, never ended as whole", func(n int, _ *Attempt) (*Answer, error) {
+			if n == 1 {
+				return stream(90, failure(KindBroken), "1"), nil
+			}
+			return turnedAway(), nil
+		}, "1;", true, "", "1"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				b.answer = row.answer
+				c := b.serve(t.Context(), "/note/x", nil)
+				models := ""
+				for _, a := range b.sent {
+					models += " " + string(a.Model)
+				}
+				if c.events != row.events || c.Cut != row.cut || row.models != "" && models != " "+row.models {
+					t.Errorf("events %q, cut %v, models%s", c.events, c.Cut, models)
+				}
+				if last := b.sent[len(b.sent)-1]; last.After != row.after {
+					t.Errorf("went on behind %q, want %q", last.After, row.after)
+				}
+				if c.begun > 1 {
+					t.Error("the head was sent twice")
+				}
+			})
+		})
+	}
+}
+
+// TestDeadEndpointsDoNotCount has engines die one after the other under a stream.
+func TestDeadEndpointsDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		b.answer = func(n int, a *Attempt) (*Answer, error) {
+			if n < 4 {
+				b.dead[a.Endpoint.ID] = true
+				return stream(90, failure(KindBroken), fmt.Sprint(n)), nil
+			}
+			return stream(90, io.EOF, "4"), nil
+		}
+		if c := b.serve(t.Context(), "/note/x", nil); c.events != "1;2;3;4;" || c.Cut {
+			t.Errorf("events %q, cut %v", c.events, c.Cut)
+		}
+	})
+}
+
+// TestPoison has one request crash each endpoint that begins to run it.
+func TestPoison(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		b.answer = func(_ int, a *Attempt) (*Answer, error) {
+			b.dead[a.Endpoint.ID] = true
+			return nil, failure(KindBroken)
+		}
+		for range 3 {
+			b.serve(t.Context(), "/note/x", nil)
+		}
+		sent := len(b.sent)
+		if c := b.serve(t.Context(), "/note/x", nil); c.Status != http.StatusBadGateway || len(b.sent) != sent {
+			t.Errorf("status %d after %d sends, then %d more", c.Status, sent, len(b.sent)-sent)
+		}
+		if sent > 4 {
+			t.Errorf("%d endpoints were crashed", sent)
+		}
+		other := b.serve(t.Context(), "/note/y", nil)
+		if other.Reason == ReasonQuarantined || b.relay.Judge("") == quarantine.VerdictQuarantined {
+			t.Error("another request is quarantined")
+		}
+	})
+}
+
+// TestWorkKeepsToOrders changes the view between the attempts of one request.
+func TestWorkKeepsToOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		b.answer = func(n int, a *Attempt) (*Answer, error) {
+			if n == 1 {
+				var gone []registry.Record
+				for i := range 4 {
+					if id := fmt.Sprint("plain", i); id != "plain3" {
+						gone = append(gone, registry.Record{Key: id, Gone: true, Offset: registry.Offset(20 + i)})
+					}
+				}
+				b.registry.Merge(registry.Batch{Feed: registry.FeedEndpoints, Records: gone, From: 8, Head: 30})
+				return nil, failure(KindBroken)
+			}
+			return whole(200), nil
+		}
+		c := b.serve(t.Context(), "/safe/x", nil)
+		for _, a := range b.sent[1:] {
+			if a.Endpoint.ID != "plain3" {
+				t.Errorf("sent to %s after it had left", a.Endpoint.ID)
+			}
+		}
+		if c.Status != 200 && len(b.sent) > 1 {
+			t.Errorf("status %d", c.Status)
+		}
+	})
+}
+
+// TestMonthEnd is the load of the heaviest days: many more long streams than the
+// engines have places. What does not fit is refused at once with a time to come
+// back, nothing is held, and the urgent are served before the others.
+func TestMonthEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		ends := make(chan struct{})
+		b.answer = func(int, *Attempt) (*Answer, error) {
+			return &Answer{Status: 200, Confidence: 90, Close: func() {}, Next: func() (Event, error) {
+				<-ends
+				return Event{}, io.EOF
+			}}, nil
+		}
+		results := make(chan *caller, 200)
+		refusedAt := clock.Millis(0)
+		for i := range 60 {
+			go func() {
+				began := b.clock.Mono()
+				c := b.serve(t.Context(), "/note/x", func(r *Request) { r.ID = RequestID(fmt.Sprint(i)); r.Body = []byte(fmt.Sprint(i)) })
+				if c.Status == 503 {
+					refusedAt = max(refusedAt, b.clock.Mono()-began)
+				}
+				results <- c
+			}()
+			time.Sleep(time.Millisecond)
+		}
+		close(ends)
+		served, refused := 0, 0
+		for range 60 {
+			c := <-results
+			switch {
+			case c.Status == 503 && c.RetryAfter > 0:
+				refused++
+			case c.begun == 1:
+				served++
+			}
+		}
+		if served < 24 || refused == 0 || served+refused != 60 {
+			t.Errorf("%d served and %d refused of 60 with 24 places", served, refused)
+		}
+		if refusedAt > 5 {
+			t.Errorf("a refusal was held for %d ms", refusedAt)
+		}
+	})
+}
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -79,6 +79,7 @@
 	for _, opt := range opts {
 		opt(&r.opts)
 	}
+	r.returned = -r.opts.lapseSpan // The store has not been away in this run.
 	r.view.Store(&State{})
 	return r
 }
