--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -162,7 +162,7 @@
 		args = append(args, "endpoint", t.last.Endpoint.ID, "release", t.last.Endpoint.Release, "model", t.model, "runs", t.runs, "sends", t.sends, "arm", t.arm)
 	}
 	if t.firstAt > 0 {
-		args = append(args, "first-ms", int64(t.firstAt-t.request.Began))
+		args = append(args, "first-ms", int64(t.firstAt-t.request.Began), "pause-ms", int64(t.pause))
 	}
 	if result.RetryAfter > 0 {
 		args = append(args, "retry-after-ms", int64(result.RetryAfter))
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -362,13 +363,13 @@
 			}}, nil
 		}
 		results := make(chan *caller, 200)
-		refusedAt := clock.Millis(0)
+		var refusedAt atomic.Int64
 		for i := range 60 {
 			go func() {
 				began := b.clock.Mono()
 				c := b.serve(t.Context(), "/note/x", func(r *Request) { r.ID = RequestID(fmt.Sprint(i)); r.Body = []byte(fmt.Sprint(i)) })
 				if c.Status == 503 {
-					refusedAt = max(refusedAt, b.clock.Mono()-began)
+					refusedAt.Store(max(refusedAt.Load(), int64(b.clock.Mono()-began)))
 				}
 				results <- c
 			}()
@@ -388,8 +389,8 @@
 		if served < 24 || refused == 0 || served+refused != 60 {
 			t.Errorf("%d served and %d refused of 60 with 24 places", served, refused)
 		}
-		if refusedAt > 5 {
-			t.Errorf("a refusal was held for %d ms", refusedAt)
+		if held := refusedAt.Load(); held > 5 {
+			t.Errorf("a refusal was held for %d ms", held)
 		}
 	})
 }
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -50,6 +50,8 @@
 	after   EventID
 	begun   bool
 	firstAt clock.Millis
+	// pause is the longest wait for an event after the first byte.
+	pause clock.Millis
 	// refused explains why no endpoint was found.
 	refused placement.Choice
 }
@@ -522,6 +524,7 @@
 // pump passes events on as they come until the stream's proper end.
 func (t *task) pump(answer *Answer, r *run) error {
 	began, events := t.clock.Mono(), 0
+	last := began
 	defer func() { t.endpoints.paced(r.key.model, t.clock.Mono()-began, events) }()
 	for {
 		event, err := answer.Next()
@@ -532,7 +535,10 @@
 			return err
 		}
 		events++
-		r.eventAt.Store(int64(t.clock.Mono()))
+		now := t.clock.Mono()
+		t.pause = max(t.pause, now-last)
+		last = now
+		r.eventAt.Store(int64(now))
 		t.endpoints.touched(r.state)
 		if err := t.reply.Write(event.Raw); err != nil {
 			return errCaller
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -26,6 +27,8 @@
 
 // fleet is a number of relays in one process, over a network with cuts.
 type fleet struct {
+	// mu guards handlers, cut and deaf.
+	mu       sync.Mutex
 	handlers map[string]http.Handler
 	relays   []*Relay
 	stores   []*registry.Registry
@@ -47,11 +50,15 @@
 }
 
 func (w wire) Do(r *http.Request) (*http.Response, error) {
-	if w.fleet.cut(w.from, r.URL.Host) || w.fleet.handlers[r.URL.Host] == nil {
+	w.fleet.mu.Lock()
+	handler := w.fleet.handlers[r.URL.Host]
+	off := handler == nil || w.fleet.cut(w.from, r.URL.Host)
+	w.fleet.mu.Unlock()
+	if off {
 		return nil, errCutOff
 	}
 	recorder := httptest.NewRecorder()
-	w.fleet.handlers[r.URL.Host].ServeHTTP(recorder, r)
+	handler.ServeHTTP(recorder, r)
 	return recorder.Result(), nil
 }
 
@@ -79,11 +86,15 @@
 	path, handler := relay.Handler()
 	mux := http.NewServeMux()
 	mux.Handle(path, handler)
+	f.mu.Lock()
 	f.handlers[name] = mux
+	f.mu.Unlock()
 	f.relays = append(f.relays, relay)
 	f.stores = append(f.stores, store)
 	follower := NewFollower(relay)
-	follower.ReadAll = func(_ context.Context, feed registry.Feed) (registry.Batch, error) { return f.read(name, feed, 0, true) }
+	follower.ReadAll = func(_ context.Context, feed registry.Feed) (registry.Batch, error) {
+		return f.read(name, feed, 0, true)
+	}
 	follower.ReadSince = func(ctx context.Context, feed registry.Feed, from registry.Offset, wait clock.Millis) (registry.Batch, bool, error) {
 		until := time.Now().Add(wait.Duration())
 		for registry.Offset(f.offset.Load()) <= from && time.Now().Before(until) && ctx.Err() == nil {
@@ -100,7 +111,10 @@
 
 func (f *fleet) read(name string, feed registry.Feed, from registry.Offset, whole bool) (registry.Batch, error) {
 	f.reads.Add(1)
-	if f.deaf(name) {
+	f.mu.Lock()
+	deaf := f.deaf(name)
+	f.mu.Unlock()
+	if deaf {
 		return registry.Batch{}, errCutOff
 	}
 	b := registry.Batch{Feed: feed, From: from, Whole: whole}
@@ -155,12 +169,14 @@
 			inBubble(t, func(ctx context.Context) {
 				f := newFleet(ctx, 3, 3)
 				time.Sleep(4 * time.Second)
+				f.mu.Lock()
 				if row.cut != nil {
 					f.cut = row.cut
 				}
 				if row.deaf != nil {
 					f.deaf = row.deaf
 				}
+				f.mu.Unlock()
 				time.Sleep(5 * time.Second)
 				f.offset.Add(1)
 				time.Sleep(row.within)
@@ -201,7 +217,10 @@
 			time.Sleep(2 * time.Second)
 			check := func(want int64) {
 				for _, r := range f.relays {
-					if r.Rank() == 0 && f.handlers[r.Self().Name] != nil {
+					f.mu.Lock()
+					lives := f.handlers[r.Self().Name] != nil
+					f.mu.Unlock()
+					if r.Rank() == 0 && lives {
 						if got := r.Sum(series); got.Bad != want || got.Good != want {
 							t.Errorf("%s counts %+v, want %d", r.Self().Name, got, want)
 						}
@@ -211,9 +230,11 @@
 			check(6)
 			for _, r := range f.relays {
 				if r.Rank() == 0 && r.Self().Zone == "z0" {
-					delete(f.handlers, r.Self().Name)
 					dead := r.Self().Name
+					f.mu.Lock()
+					delete(f.handlers, dead)
 					f.cut = func(from, to string) bool { return from == dead || to == dead }
+					f.mu.Unlock()
 				}
 			}
 			time.Sleep(8 * time.Second)
