--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -314,6 +314,29 @@
 	return 0
 }
 
+// own returns this instance's requests at endpoints.
+func (e *endpoints) own() map[routing.EndpointID]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	counts := map[routing.EndpointID]int{}
+	for key, s := range e.known {
+		if s.Own > 0 {
+			counts[key.id] += s.Own
+		}
+	}
+	return counts
+}
+
+// others takes the requests of all other instances at endpoints.
+func (e *endpoints) others(counts map[routing.EndpointID]int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Mono()
+	for key, s := range e.known {
+		s.Others(counts[key.id], now)
+	}
+}
+
 // smooth moves a mean towards a value, by the weight of one of so many runs.
 func smooth(a *placement.Average, value float64, runs int) {
 	a.Count++
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -68,6 +68,8 @@
 		releases:  &releases{clock: parts.Clock, limits: limits, stopped: parts.Relay.Stopped, sessions: map[string]pin{}},
 	}
 	f.endpoints.instances = parts.Relay.Instances
+	parts.Relay.Loads = f.endpoints.own
+	parts.Relay.Loaded = f.endpoints.others
 	return f
 }
 
--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -31,6 +31,10 @@
 	heads map[registry.Feed]registry.Offset
 	// count is how many instances the peer counts.
 	count int
+	// loads are the peer's own requests or those of its zone, as loadsOf says.
+	loads   map[routing.EndpointID]int
+	loadsOf Whose
+	loadsAt clock.Millis
 	// suspicions is how many of the listed suspicions the peer was told.
 	suspicions int
 	// retry is when the peer may be asked again after a failure.
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -8,6 +8,7 @@
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
 	"foxtailbridge/policy/quarantine"
+	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/ticket"
 )
 
@@ -47,12 +48,28 @@
 	Batches []registry.Batch                  `json:"batches,omitempty"`
 	// Rows are the sender's own tallies to its zone's reader, and sums of zones
 	// between readers.
-	Rows       []row                  `json:"rows,omitempty"`
-	Suspicions []quarantine.Suspicion `json:"suspicions,omitempty"`
-	Stops      []catalog.OrderNumber  `json:"stops,omitempty"`
-	Leaving    bool                   `json:"leaving,omitempty"`
+	Rows []row `json:"rows,omitempty"`
+	// Loads are requests at endpoints, as LoadsOf says.
+	Loads      map[routing.EndpointID]int `json:"loads,omitempty"`
+	LoadsOf    Whose                      `json:"loads-of,omitempty"`
+	Suspicions []quarantine.Suspicion     `json:"suspicions,omitempty"`
+	Stops      []catalog.OrderNumber      `json:"stops,omitempty"`
+	Leaving    bool                       `json:"leaving,omitempty"`
 }
 
+// Whose says whose requests are counted.
+type Whose string
+
+// Those whose requests are counted.
+const (
+	// WhoseOwn are the sender's, told to its zone's reader.
+	WhoseOwn Whose = "own"
+	// WhoseZone are those of the sender's zone, told between readers.
+	WhoseZone Whose = "zone"
+	// WhoseOthers are those of all instances but the receiver, told by its reader.
+	WhoseOthers Whose = "others"
+)
+
 // codec encodes messages for connect without generated code.
 type codec struct{}
 
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -19,6 +19,7 @@
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
 	"foxtailbridge/policy/quarantine"
+	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/ticket"
 )
 
@@ -50,8 +51,16 @@
 	Scope  tally.Scope
 }
 
+// loadSpan is how long a told load counts.
+const loadSpan = 1500 * clock.Millis(1)
+
 // Relay exchanges knowledge with the other instances.
 type Relay struct {
+	// Loads returns this instance's requests at endpoints.
+	Loads func() map[routing.EndpointID]int
+	// Loaded takes the requests of all other instances at endpoints.
+	Loaded func(others map[routing.EndpointID]int)
+
 	parts   Parts
 	logger  hclog.Logger
 	members *members
@@ -76,6 +85,8 @@
 // New returns a Relay of an instance that at first knows the addresses of some peers.
 func New(self Member, seeds []string, parts Parts) *Relay {
 	return &Relay{
+		Loads:   func() map[routing.EndpointID]int { return nil },
+		Loaded:  func(map[routing.EndpointID]int) {},
 		parts:   parts,
 		logger:  parts.Logger.Named("relay"),
 		members: newMembers(self),
@@ -121,6 +132,7 @@
 		m.Members = r.members.list(zone, now)
 	}
 	reader := r.members.ranked(m.From.Zone, now)[0].Name == m.From.Name
+	r.loads(m, to, reader, zone == m.From.Zone, now)
 	r.members.mu.Unlock()
 	m.Rows = r.rows(zone == m.From.Zone, reader, m.From.Zone)
 	for number := range r.stops {
@@ -130,6 +142,46 @@
 	return m
 }
 
+// loads fills in the requests at endpoints; the caller holds the members' lock.
+func (r *Relay) loads(m *Message, to string, reader, sameZone bool, now clock.Millis) {
+	switch {
+	case !reader && sameZone:
+		m.LoadsOf, m.Loads = WhoseOwn, r.Loads()
+	case reader && sameZone:
+		m.LoadsOf, m.Loads = WhoseOthers, r.sum(now, r.Loads(), func(p *peer) bool { return p.member.Name != to })
+	case reader:
+		m.LoadsOf, m.Loads = WhoseZone, r.sum(now, r.Loads(), func(p *peer) bool { return p.loadsOf == WhoseOwn })
+	}
+}
+
+// sum adds what the chosen peers told lately; the caller holds the members' lock.
+func (r *Relay) sum(now clock.Millis, own map[routing.EndpointID]int, choose func(*peer) bool) map[routing.EndpointID]int {
+	total := make(map[routing.EndpointID]int, len(own))
+	maps.Copy(total, own)
+	for _, p := range r.members.peers {
+		if p.loadsOf == WhoseOthers || now-p.loadsAt > loadSpan || !choose(p) {
+			continue
+		}
+		for id, n := range p.loads {
+			total[id] += n
+		}
+	}
+	return total
+}
+
+// others tells this instance, if it reads for its zone, what all others have at
+// endpoints; a plain member hears that from its reader.
+func (r *Relay) others(m *Message, now clock.Millis) {
+	if m.LoadsOf == WhoseOthers {
+		r.Loaded(m.Loads)
+		return
+	}
+	r.members.mu.Lock()
+	total := r.sum(now, nil, func(*peer) bool { return true })
+	r.members.mu.Unlock()
+	r.Loaded(total)
+}
+
 // rows returns the evidence for a peer; the caller holds the lock.
 func (r *Relay) rows(sameZone, reader bool, zone ticket.ZoneName) []row {
 	var list []row
@@ -175,11 +227,17 @@
 			p.heads = map[registry.Feed]registry.Offset{}
 		}
 		p.count = m.Count
+		if m.LoadsOf != "" {
+			p.loads, p.loadsOf, p.loadsAt = m.Loads, m.LoadsOf, now
+		}
 		p.leaving = m.Leaving
 		p.failing = false
 		p.retry = 0
 	}
 	r.members.mu.Unlock()
+	if m.LoadsOf != "" {
+		r.others(m, now)
+	}
 	r.mu.Lock()
 	r.met = true
 	for _, e := range m.Rows {
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -22,6 +22,7 @@
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
 	"foxtailbridge/policy/quarantine"
+	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/ticket"
 )
 
@@ -259,3 +260,29 @@
 		}
 	})
 }
+
+// TestLoads checks that every instance learns what all others have at endpoints,
+// each request counted once, whoever reads for a zone.
+func TestLoads(t *testing.T) {
+	inBubble(t, func(ctx context.Context) {
+		f := newFleet(ctx, 3, 4)
+		var mu sync.Mutex
+		heard := map[string]int{}
+		for i, r := range f.relays {
+			r.Loads = func() map[routing.EndpointID]int { return map[routing.EndpointID]int{"e": i + 1} }
+			r.Loaded = func(others map[routing.EndpointID]int) {
+				mu.Lock()
+				defer mu.Unlock()
+				heard[r.Self().Name] = others["e"]
+			}
+		}
+		time.Sleep(6 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		for i, r := range f.relays {
+			if want := 12*13/2 - (i + 1); heard[r.Self().Name] != want {
+				t.Errorf("%s (rank %d) takes the others for %d, want %d", r.Self().Name, r.Rank(), heard[r.Self().Name], want)
+			}
+		}
+	})
+}
--- a/policy/placement/state.go
+++ b/policy/placement/state.go
@@ -47,6 +47,8 @@
 	cold        share.Bucket
 	load        Load
 	loadAt      clock.Millis
+	others      int
+	othersAt    clock.Millis
 	ownAtReport int
 	downUntil   clock.Millis
 	misses      int
@@ -62,6 +64,8 @@
 const (
 	// loadMemory is how long a reported load counts.
 	loadMemory = 2 * clock.Second
+	// freshLoad is how long it goes before what other instances tell.
+	freshLoad = 300 * clock.Millis(1)
 	// firstPause is how long an endpoint is left alone after it could not be
 	// reached; the pause doubles up to maxPause.
 	firstPause = 400 * clock.Millis(1)
@@ -125,8 +129,18 @@
 	s.ownAtReport = s.Own
 }
 
-// Occupied estimates the running and waiting requests at the endpoint.
+// Others takes the requests that all other instances have at the endpoint.
+func (s *State) Others(count int, now clock.Millis) {
+	s.others = count
+	s.othersAt = now
+}
+
+// Occupied estimates the running and waiting requests at the endpoint: by its
+// own word while that is fresh, else by what the other instances have there.
 func (s *State) Occupied(now clock.Millis) int {
+	if now-s.loadAt > freshLoad && s.othersAt > s.loadAt && now-s.othersAt <= loadMemory {
+		return s.Own + s.others
+	}
 	if now-s.loadAt > loadMemory {
 		return s.Own
 	}
