--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -61,8 +61,10 @@
 const (
 	// cutMisses is how many endpoints in a row show that a zone is cut off.
 	cutMisses = 3
-	// cutPause is how long the zone is then left alone.
-	cutPause = clock.Second
+	// cutPause is how long the zone is then left alone; it doubles with each
+	// further miss up to longestCut.
+	cutPause   = clock.Second
+	longestCut = 4 * clock.Second
 )
 
 type delayKey struct {
@@ -231,7 +233,7 @@
 	if z := e.zone(s.Endpoint.Zone); !was && why == KindNotSent {
 		z.misses++
 		if z.misses >= cutMisses {
-			z.until = now + cutPause
+			z.until = now + min(longestCut, cutPause<<min(z.misses-cutMisses, 4))
 		}
 	}
 	if !was {
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -394,3 +394,26 @@
 		}
 	})
 }
+
+// TestHalfOfTheEndpointsDown has callers wait while endpoints that nobody has
+// found dead yet look free: each refuses the channel at once.
+func TestHalfOfTheEndpointsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		b.answer = func(_ int, a *Attempt) (*Answer, error) {
+			if a.Endpoint.ID != "plain3" {
+				return nil, failure(KindNotSent)
+			}
+			return whole(200), nil
+		}
+		used := b.endpoints.pool("plain").retries.Left(b.clock.Mono())
+		for _, path := range []string{"/once/x", "/safe/x"} {
+			if c := b.serve(t.Context(), path, nil); c.Status != 200 {
+				t.Errorf("%s: status %d after %d sends", path, c.Status, len(b.sent))
+			}
+		}
+		if left := b.endpoints.pool("plain").retries.Left(b.clock.Mono()); left < used {
+			t.Errorf("what was never sent used up repeats: %.2f left of %.2f", left, used)
+		}
+	})
+}
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -41,6 +41,8 @@
 	// all that were tried.
 	runs  int
 	sends int
+	// unsent counts attempts that cannot have reached an endpoint.
+	unsent int
 	// ran is true once any attempt may have run.
 	ran  bool
 	last *placement.State
@@ -60,6 +62,9 @@
 	// extraSends is how many endpoints beyond the route's attempts may turn a
 	// request away without running it.
 	extraSends = 2
+	// mostUnsent is how many endpoints in a row may be out of reach: with half of
+	// them down, the chance to find one after that many is all but certain.
+	mostUnsent = 12
 	// plainPatience and enginePatience are the fills up to which requests queue
 	// at endpoints: a plain endpoint drains a slot in some 10 ms.
 	plainPatience  = 2.5
@@ -340,6 +345,8 @@
 		"ms", int64(t.clock.Mono()-r.sentAt), "error", err)
 	switch kind {
 	case KindNotSent:
+		t.sends--
+		t.unsent++
 		end.Sent = attempt.SentNothing
 		end.Result = attempt.ResultBroken
 		t.endpoints.lost(r.state, kind)
@@ -391,7 +398,7 @@
 
 // another reports whether attempts, time and budget allow one more.
 func (t *task) another(end *attempt.End) bool {
-	if t.clock.Mono()+leastLeft > t.deadline || t.sends >= t.route.Attempts+extraSends {
+	if t.clock.Mono()+leastLeft > t.deadline || t.sends >= t.route.Attempts+extraSends || t.unsent >= mostUnsent {
 		return false
 	}
 	if t.runs >= t.route.Attempts {
@@ -462,7 +469,9 @@
 		t.endpoints.takeRetry(t.service.Name)
 		return Result{}, false
 	case attempt.StepRepeat, attempt.StepResume:
-		t.endpoints.takeRetry(t.service.Name)
+		if end.Sent != attempt.SentNothing {
+			t.endpoints.takeRetry(t.service.Name)
+		}
 		t.parts.Scope.Counter(string(step)).Inc(1)
 		t.logger.Info(string(step), "request", t.request.ID, "endpoint", r.state.Endpoint.ID, "result", end.Result, "sent", end.Sent,
 			"after", t.after, "runs", t.runs)
--- a/policy/cascade/confidence.go
+++ b/policy/cascade/confidence.go
@@ -43,8 +43,8 @@
 	loss = 0.95
 	// shadowFill is the fill above which capacity is scarce, and shadowPrice
 	// how many times its price a run then costs others at full load.
-	shadowFill  = 0.5
-	shadowPrice = 4.0
+	shadowFill  = 0.7
+	shadowPrice = 2.0
 )
 
 // Poor returns the chance that an answer of this confidence is poor.
