--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -282,7 +282,7 @@
 	// usualRuns is how many runs make a usual delay.
 	usualRuns = 10
 	// delayRuns and failureRuns are how many runs those means look back on.
-	delayRuns   = 50
+	delayRuns   = 16
 	failureRuns = 200
 )
 
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -431,6 +431,7 @@
 		Value:      cascade.Value(int(t.route.Rank), float64(t.size()), t.endpoints.meanSize(t.route.Name)),
 		Price:      cascade.Price(t.service.Engine.Cost(larger), placement.Tokens(t.request.Parts), t.request.Write),
 		Fill:       1 - float64(room.Free)/float64(max(1, room.Slots)),
+		Goal:       t.route.Goal,
 		Left:       min(t.deadline, t.request.Began+t.route.Goal) - now,
 		Expected:   t.endpoints.expected(key),
 		LeftWhole:  t.deadline - now,
--- a/entry/relay/follow.go
+++ b/entry/relay/follow.go
@@ -16,15 +16,17 @@
 	ordersWait = 1500 * clock.Millis(1)
 	// rankStep is how much later each further member of a zone starts to read.
 	rankStep = 500 * clock.Millis(1)
-	// rankSteps bounds the steps, so that the last member is not late itself.
-	rankSteps = 3
+	// rankSteps bounds the steps, so that the last member is not late itself: it
+	// is rare that the store turns that many of a zone away and serves the next.
+	rankSteps = 6
 	// startWait is how long a starting instance waits for its peers' knowledge,
 	// firstWait the same when the whole installation starts and nobody calls yet.
 	startWait = 40 * clock.Millis(1)
 	firstWait = 900 * clock.Millis(1)
 	// lookPeriod is how often an instance looks whether it has to read.
 	lookPeriod = 100 * clock.Millis(1)
-	// firstBackoff and maxBackoff bound the pause after a failed read.
+	// firstBackoff and maxBackoff bound the pause after a failed read. Each rank
+	// waits rankStep longer: a store that is down is not asked by the whole fleet.
 	firstBackoff = 200 * clock.Millis(1)
 	maxBackoff   = 1000 * clock.Millis(1)
 	// outcomesPeriod is how old the knowledge of outcomes may get: they are
@@ -73,7 +75,8 @@
 				f.logger.Warn("store-lost", "feed", feed, "age-ms", int64(f.registry.Age(feed)), "error", err)
 			}
 			backoff = min(maxBackoff, max(firstBackoff, 2*backoff))
-			if f.clock.Sleep(ctx, backoff) != nil {
+			rank := clock.Millis(min(f.relay.Rank(), rankSteps))
+			if f.clock.Sleep(ctx, backoff+rank*rankStep) != nil {
 				return
 			}
 		}
--- a/policy/cascade/confidence.go
+++ b/policy/cascade/confidence.go
@@ -21,6 +21,8 @@
 	Price float64
 	// Fill is the occupied share of the endpoints that could run it, 0 to 1 and above.
 	Fill float64
+	// Goal is the time to the first token that is still in time.
+	Goal clock.Millis
 	// Left is the time until the answer is due to begin.
 	Left clock.Millis
 	// Expected is the time that the larger model takes to its first token.
@@ -41,10 +43,13 @@
 	wholeMargin = 1.4
 	// loss is the part of its value that a poor answer lacks.
 	loss = 0.95
-	// shadowFill is the fill above which capacity is scarce, and shadowPrice
+	// shadowLoad is the load above which capacity is scarce, and shadowPrice
 	// how many times its price a run then costs others at full load.
-	shadowFill  = 0.7
-	shadowPrice = 2.0
+	shadowLoad  = 0.6
+	shadowPrice = 3.0
+	// busyGoals is the part of the goal that the first token takes at full load:
+	// engines that read long prompts are busy long before their slots are taken.
+	busyGoals = 0.5
 )
 
 // Poor returns the chance that an answer of this confidence is poor.
@@ -52,13 +57,21 @@
 	return 1 / (1 + math.Exp((float64(c)-evenConfidence)/confidenceScale))
 }
 
+// load is the larger of what the slots and the time to the first token show.
+func (d Doubt) load() float64 {
+	if d.Goal <= 0 {
+		return d.Fill
+	}
+	return max(d.Fill, float64(d.Expected)/(busyGoals*float64(d.Goal)))
+}
+
 // Escalate reports whether a larger model should answer instead: whether what
 // the better answer adds is worth more than it costs, and it comes in time.
 func (d Doubt) Escalate() bool {
 	if d.Confidence == ConfidenceUnknown || d.Left < d.Expected || float64(d.LeftWhole) < wholeMargin*float64(d.Whole) {
 		return false
 	}
-	scarcity := 1 + shadowPrice*max(0, d.Fill-shadowFill)/(1-shadowFill)
+	scarcity := 1 + shadowPrice*min(2, max(0, d.load()-shadowLoad)/(1-shadowLoad))
 	return loss*d.Value*d.Confidence.Poor() > d.Price*scarcity
 }
 
