--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -317,7 +317,7 @@
 	// gapGoals is the part of the longest pause after which a stream goes on
 	// elsewhere if its engine is silent, pauseGaps how many such pauses it may
 	// rest at an engine that answers others.
-	gapGoals  = 0.75
+	gapGoals  = 0.45
 	pauseGaps = 1.6
 )
 
