--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -433,13 +433,26 @@
 		Fill:       1 - float64(room.Free)/float64(max(1, room.Slots)),
 		Goal:       t.route.Goal,
 		Left:       min(t.deadline, t.request.Began+t.route.Goal) - now,
-		Expected:   t.endpoints.expected(key),
+		Expected:   clock.Millis(float64(t.endpoints.expected(key)) * t.relativeRead()),
 		LeftWhole:  t.deadline - now,
 		Whole:      t.endpoints.expected(key) + clock.Millis(float64(events)*t.endpoints.pause(larger)),
 	}
 	return doubt.Escalate()
 }
 
+// relativeRead is how long reading this prompt takes against the route's mean.
+func (t *task) relativeRead() float64 {
+	mean := t.endpoints.meanSize(t.route.Name)
+	if mean <= 0 {
+		return 1
+	}
+	return readFloor + (1-readFloor)*float64(t.size())/mean
+}
+
+// readFloor is the part of the time to the first token that does not grow with
+// the prompt.
+const readFloor = 0.3
+
 // writeWeight is how many read tokens a written one counts for in a request's size.
 const writeWeight = 10
 
--- a/policy/cascade/confidence.go
+++ b/policy/cascade/confidence.go
@@ -47,6 +47,8 @@
 	// how many times its price a run then costs others at full load.
 	shadowLoad  = 0.6
 	shadowPrice = 3.0
+	// lateValue is what a good answer is worth if it begins late.
+	lateValue = 0.3
 	// busyGoals is the part of the goal that the first token takes at full load:
 	// engines that read long prompts are busy long before their slots are taken.
 	busyGoals = 0.5
@@ -68,11 +70,15 @@
 // Escalate reports whether a larger model should answer instead: whether what
 // the better answer adds is worth more than it costs, and it comes in time.
 func (d Doubt) Escalate() bool {
-	if d.Confidence == ConfidenceUnknown || d.Left < d.Expected || float64(d.LeftWhole) < wholeMargin*float64(d.Whole) {
+	if d.Confidence == ConfidenceUnknown || float64(d.LeftWhole) < wholeMargin*float64(d.Whole) {
 		return false
 	}
 	scarcity := 1 + shadowPrice*min(2, max(0, d.load()-shadowLoad)/(1-shadowLoad))
-	return loss*d.Value*d.Confidence.Poor() > d.Price*scarcity
+	value := d.Value
+	if d.Left < d.Expected {
+		value *= lateValue
+	}
+	return loss*value*d.Confidence.Poor() > d.Price*scarcity
 }
 
 const (
