Let instances begin at different phases with a cold endpoint

Each of 88 instances began with a whole token, so all could send their first at once. Now at a random phase, and 0.8 of the rate is used. TestManyBuckets: 88 in a second before, within 27 over 200 seeds after. Ruled out: the count of instances (all knew 80 or more).

--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -99,7 +99,7 @@
 			key := endpointKey{endpoint.ID, endpoint.Born}
 			s := e.known[key]
 			if s == nil {
-				s = placement.NewState(endpoint, now)
+				s = placement.NewState(endpoint, now, e.random.Float64())
 			}
 			if endpoint.Cold > 0 && (s.Endpoint != endpoint || s.ColdUntil == 0) {
 				s.ColdUntil = max(s.ColdUntil, now+endpoint.Cold)
@@ -201,7 +201,7 @@
 func (e *endpoints) prepare(view *registry.State, service *catalog.Service, q *placement.Query) *pool {
 	q.Now = e.clock.Mono()
 	e.sync(view, q.Now)
-	q.ColdRate = service.ColdRate / float64(max(1, e.instances()))
+	q.ColdRate = ownPart * service.ColdRate / float64(max(1, e.instances()))
 	q.CutOff = func(zone ticket.ZoneName) bool {
 		z := e.reach[zone]
 		return z != nil && zone != q.Zone && q.Now < z.until
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -17,7 +17,7 @@
 	var list []*State
 	for i := range count {
 		zone := ticket.ZoneName([]string{"a", "b"}[i%2])
-		list = append(list, NewState(&catalog.Endpoint{ID: routing.EndpointID(fmt.Sprint("e", i)), Zone: zone, Slots: slots}, 0))
+		list = append(list, NewState(&catalog.Endpoint{ID: routing.EndpointID(fmt.Sprint("e", i)), Zone: zone, Slots: slots}, 0, 1))
 	}
 	return list
 }
--- a/policy/placement/state.go
+++ b/policy/placement/state.go
@@ -91,9 +91,11 @@
 	a.Mean += weight * (value - a.Mean)
 }
 
-// NewState returns a State for an endpoint first seen at the time.
-func NewState(e *catalog.Endpoint, now clock.Millis) *State {
-	return &State{Endpoint: e, Since: now, LastHeard: now, parts: map[keptPart]clock.Millis{}}
+// NewState returns a State for an endpoint first seen at the time. The phase, 0
+// to 1, sets this instance apart from others that send to the endpoint while it
+// is cold.
+func NewState(e *catalog.Endpoint, now clock.Millis, phase float64) *State {
+	return &State{Endpoint: e, Since: now, LastHeard: now, cold: share.Bucket{Phase: phase}, parts: map[keptPart]clock.Millis{}}
 }
 
 // Cold reports whether the endpoint is still warming up.
--- a/policy/share/share.go
+++ b/policy/share/share.go
@@ -7,6 +7,10 @@
 // Bucket lets through a rate of requests; it holds at most a burst. It is not
 // safe for concurrent use.
 type Bucket struct {
+	// Phase is what the bucket holds at first, 0 to 1. Instances that share a
+	// limit start at different phases, or all would send their first at once.
+	Phase float64
+
 	tokens float64
 	at     clock.Millis
 	begun  bool
@@ -32,7 +36,7 @@
 func (b *Bucket) fill(rate, burst float64, now clock.Millis) {
 	if !b.begun {
 		b.begun = true
-		b.tokens = min(1, burst)
+		b.tokens = min(b.Phase, burst)
 		b.at = now
 	}
 	b.tokens = min(burst, b.tokens+rate*float64(now-b.at)/float64(clock.Second))
--- a/policy/share/share_test.go
+++ b/policy/share/share_test.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -38,6 +39,39 @@
 	}))
 }
 
+// TestManyBuckets has 88 instances meet an endpoint that turns cold under load:
+// the bound is the users', 1.5 times the rate and 5 in any second.
+func TestManyBuckets(t *testing.T) {
+	const instances, rate, part = 88, 15.0, 0.8
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		buckets := make([]Bucket, instances)
+		for i := range buckets {
+			buckets[i].Phase = random.Float64()
+		}
+		var sent []clock.Millis
+		for now := clock.Millis(0); now < 3*clock.Second; now++ {
+			if buckets[random.IntN(instances)].Take(part*rate/instances, 1, now) {
+				sent = append(sent, now)
+			}
+		}
+		for i, from := range sent {
+			in := 0
+			for _, at := range sent[i:] {
+				if at < from+clock.Second {
+					in++
+				}
+			}
+			if float64(in) > 1.5*rate+5 {
+				t.Fatalf("seed %d: %d requests in a second", seed, in)
+			}
+		}
+		if float64(len(sent)) < rate {
+			t.Errorf("seed %d: only %d requests in three seconds", seed, len(sent))
+		}
+	}
+}
+
 func TestRetries(t *testing.T) {
 	Convey("Repeats are a share of the requests and a slack, over a sliding span", t, func() {
 		r := &Retries{Ratio: 0.5, Slack: 2, Span: 10 * clock.Second}
