--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -298,14 +298,20 @@
 	// slowRead is the prompt tokens that a busy engine reads in a millisecond.
 	slowRead = 8
 	// limitGoals is how many goals an answer's head may take at an engine that
-	// answers others.
+	// answers others, limitUsual how many times the usual: beyond that the answer
+	// is more likely lost than late.
 	limitGoals = 1.3
+	limitUsual = 5.0
 )
 
 // limit is the longest wait for an answer's head at an engine that answers others.
 func (t *task) limit(patience clock.Millis) clock.Millis {
 	read := clock.Millis(placement.Tokens(t.request.Parts) / slowRead)
-	return max(patience, clock.Millis(limitGoals*float64(t.route.Goal))+read)
+	limit := clock.Millis(limitGoals*float64(t.route.Goal)) + read
+	if usual := float64(t.endpoints.expected(delayKey{t.route.Name, t.model})); usual > 0 {
+		limit = min(limit, clock.Millis(limitUsual*usual*max(1, t.relativeRead())))
+	}
+	return max(patience, limit)
 }
 
 const (
