--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -35,7 +35,6 @@
 	answer func(n int, a *Attempt) (*Answer, error)
 	sent   []*Attempt
 	dead   map[routing.EndpointID]bool
-	offset registry.Offset
 }
 
 const (
