--- /dev/null
+++ b/entry/forward/deliver.go
@@ -0,0 +1,80 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"foxtailbridge/policy/attempt"
+)
+
+// deliver hands an answer to the caller; a stream that breaks may go on elsewhere.
+func (t *task) deliver(ctx context.Context, r *run) (Result, bool) {
+	answer := r.answer
+	t.releases.remember(t.sessionKey(), r.state.Endpoint.Release)
+	if t.firstAt == 0 {
+		t.firstAt = t.clock.Mono()
+	}
+	if answer.Next == nil {
+		r.rate(false)
+		r.end()
+		if t.digest != "" {
+			t.parts.Relay.Clear(t.digest)
+		}
+		return Result{Status: answer.Status, Header: answer.Header, Body: answer.Body, Reason: ReasonServed}, true
+	}
+	if !t.begun {
+		t.begun = true
+		t.release = r.state.Endpoint.Release
+		t.weights = answer.Weights
+		t.reply.Begin(answer.Status, answer.Header)
+	}
+	err := t.pump(answer, r)
+	if err == nil {
+		r.rate(false)
+		r.close()
+		if t.digest != "" {
+			t.parts.Relay.Clear(t.digest)
+		}
+		return Result{Reason: ReasonServed}, true
+	}
+	r.close()
+	if ctx.Err() != nil || errors.Is(err, errCaller) {
+		return Result{Reason: ReasonGone, Own: true, Cut: true}, true
+	}
+	end := attempt.End{Sent: attempt.SentSome, Repeatable: t.repeatable(), Resumable: t.route.Resumable, Begun: true, RanBefore: true}
+	t.runs-- // broken counts it again
+	t.broken(ctx, r, &end, err)
+	return t.follow(ctx, end, r)
+}
+
+// errCaller marks a failed write to the caller.
+var errCaller = errors.New("the caller does not take the answer")
+
+// pump passes events on as they come until the stream's proper end.
+func (t *task) pump(answer *Answer, r *run) error {
+	began, events := t.clock.Mono(), 0
+	last := began
+	defer func() { t.endpoints.paced(r.key.model, t.clock.Mono()-began, events) }()
+	for {
+		event, err := answer.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		events++
+		now := t.clock.Mono()
+		t.pause = max(t.pause, now-last)
+		last = now
+		r.eventAt.Store(int64(now))
+		t.endpoints.touched(r.state)
+		if err := t.reply.Write(event.Raw); err != nil {
+			return errCaller
+		}
+		if event.ID != "" {
+			t.after = event.ID
+		}
+	}
+}
--- /dev/null
+++ b/entry/forward/escalate.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"foxtailbridge/policy/cascade"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/placement"
+)
+
+// unsure reports whether a larger model should answer instead, and has room.
+func (t *task) unsure(answer *Answer) bool {
+	ladder := t.route.Ladder
+	if t.model == "" || t.begun || t.service.Engine == nil || len(ladder) == 0 || t.model == ladder[len(ladder)-1] {
+		return false
+	}
+	larger := ladder[len(ladder)-1]
+	q := t.query()
+	q.Tried, q.Model, q.Effort = nil, larger, t.service.Engine.Effort(larger)
+	room := t.endpoints.peek(t.view, t.service, q)
+	if room.State == nil || t.runs >= t.route.Attempts || !t.endpoints.hasSpare(t.service.Name) {
+		return false
+	}
+	now := t.clock.Mono()
+	key := delayKey{t.route.Name, larger}
+	events := t.request.Write
+	if stride := t.service.Engine.Stride; stride > 0 {
+		events /= stride
+	}
+	doubt := cascade.Doubt{
+		Confidence: answer.Confidence,
+		Value:      cascade.Value(int(t.route.Rank), float64(t.size()), t.endpoints.meanSize(t.route.Name)),
+		Price:      cascade.Price(t.service.Engine.Cost(larger), placement.Tokens(t.request.Parts), t.request.Write),
+		Fill:       1 - float64(room.Free)/float64(max(1, room.Slots)),
+		Goal:       t.route.Goal,
+		Left:       min(t.deadline, t.request.Began+t.route.Goal) - now,
+		Expected:   clock.Millis(float64(t.endpoints.expected(key)) * t.relativeRead()),
+		LeftWhole:  t.deadline - now,
+		Whole:      t.endpoints.expected(key) + clock.Millis(float64(events)*t.endpoints.pause(larger)),
+	}
+	return doubt.Escalate()
+}
+
+// relativeRead is how long reading this prompt takes against the route's mean.
+func (t *task) relativeRead() float64 {
+	mean := t.endpoints.meanSize(t.route.Name)
+	if mean <= 0 {
+		return 1
+	}
+	return readFloor + (1-readFloor)*float64(t.size())/mean
+}
+
+// readFloor is the part of the time to the first token that does not grow with
+// the prompt.
+const readFloor = 0.3
+
+// writeWeight is how many read tokens a written one counts for in a request's size.
+const writeWeight = 10
+
+// size measures the request for what its answer is worth.
+func (t *task) size() int {
+	return placement.Tokens(t.request.Parts) + writeWeight*t.request.Write
+}
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -131,7 +131,7 @@
 	if t.service == nil {
 		return own(http.StatusServiceUnavailable, ReasonNoEndpoint, startPause), false
 	}
-	if len(t.request.Body) > 0 || t.route.Repeat == RepeatFreely {
+	if len(t.request.Body) > 0 || t.route.Repeat == catalog.RepeatFreely {
 		t.digest = t.request.digest(t.workspace)
 		if t.parts.Relay.Judge(t.digest) == quarantine.VerdictQuarantined {
 			return own(http.StatusBadGateway, ReasonQuarantined, 0), false
@@ -140,9 +140,6 @@
 	return Result{}, true
 }
 
-// RepeatFreely is the catalog's rule, named here for the pipeline's tests.
-const RepeatFreely = catalog.RepeatFreely
-
 // record writes the request's line and its metrics.
 func (t *task) record(result *Result) {
 	span := t.clock.Mono() - t.request.Began
@@ -175,17 +172,3 @@
 	}
 	t.logger.Info("request", args...)
 }
-
-// Free reports how many slots are free over all services, for status pages.
-func (f *Forwarder) Free() int {
-	f.endpoints.mu.Lock()
-	defer f.endpoints.mu.Unlock()
-	now := f.clock.Mono()
-	free := 0
-	for _, p := range f.endpoints.pools {
-		for _, s := range p.states {
-			free += max(0, s.Endpoint.Slots-s.Occupied(now))
-		}
-	}
-	return free
-}
--- /dev/null
+++ b/entry/forward/patience.go
@@ -0,0 +1,95 @@
+package forward
+
+import (
+	"context"
+
+	"foxtailbridge/policy/attempt"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/placement"
+)
+
+func (t *task) outgoing(ctx context.Context, r *run) *Attempt {
+	s := r.state
+	left := t.deadline - t.clock.Mono()
+	a := &Attempt{
+		Request: t.request, Endpoint: s.Endpoint, Workspace: t.workspace, Rank: t.rank, Model: t.model,
+		Left: left, FirstBy: left, After: t.after, Weights: t.weights, Stream: t.route.Stream,
+		Gap: t.gap(), Once: !t.repeatable(),
+	}
+	if t.repeatable() && t.sends <= t.route.Attempts-1 {
+		a.FirstBy = min(left, t.patience())
+	}
+	r.patience = a.FirstBy
+	a.Waits = func() bool { return t.route.Stream && r.waits(ctx) }
+	return a
+}
+
+// waits decides whether silence is waited out. An engine that answers others is
+// busy with long prompts, not dead; and without another place to go on there is
+// no use in ending an answer.
+func (r *run) waits(ctx context.Context) bool {
+	t := r.task
+	end := attempt.End{Sent: attempt.SentSome}
+	if !t.repeatable() || !t.another(&end) {
+		return true
+	}
+	now := t.clock.Mono()
+	since, patience, limit := r.sentAt, r.patience, t.limit(r.patience)
+	if at := clock.Millis(r.eventAt.Load()); at > 0 {
+		since, patience, limit = at, t.gap(), clock.Millis(pauseGaps*float64(t.route.GapGoal))
+	}
+	if now-since >= limit {
+		return false
+	}
+	return now-t.endpoints.lastHeard(r.state) < patience || t.parts.Sender.Alive(ctx, r.state.Endpoint)
+}
+
+const (
+	// slowRead is the prompt tokens that a busy engine reads in a millisecond.
+	slowRead = 8
+	// limitGoals is how many goals an answer's head may take at an engine that
+	// answers others, limitUsual how many times the usual: beyond that the answer
+	// is more likely lost than late.
+	limitGoals = 1.3
+	limitUsual = 5.0
+)
+
+// limit is the longest wait for an answer's head at an engine that answers others.
+func (t *task) limit(patience clock.Millis) clock.Millis {
+	read := clock.Millis(placement.Tokens(t.request.Parts) / slowRead)
+	limit := clock.Millis(limitGoals*float64(t.route.Goal)) + read
+	if usual := float64(t.endpoints.expected(delayKey{t.route.Name, t.model})); usual > 0 {
+		limit = min(limit, clock.Millis(limitUsual*usual*max(1, t.relativeRead())))
+	}
+	return max(patience, limit)
+}
+
+const (
+	// silenceGoals is how many goals an answer's head may take before a
+	// repeatable request is sent elsewhere.
+	silenceGoals = 0.4
+	// plainSilenceGoals is the same for plain requests, whose goal is short.
+	plainSilenceGoals = 2.5
+	// gapGoals is the part of the longest pause after which a stream goes on
+	// elsewhere if its engine is silent, pauseGaps how many such pauses it may
+	// rest at an engine that answers others.
+	gapGoals  = 0.45
+	pauseGaps = 1.6
+)
+
+// patience is how long a repeatable request waits for an answer's head.
+func (t *task) patience() clock.Millis {
+	goals := plainSilenceGoals
+	if t.route.Stream {
+		goals = silenceGoals
+	}
+	usual := t.endpoints.expected(delayKey{t.route.Name, t.model})
+	return max(clock.Millis(goals*float64(t.route.Goal)), 4*usual)
+}
+
+func (t *task) gap() clock.Millis {
+	if t.route.GapGoal == 0 || !t.route.Resumable {
+		return t.route.Timeout
+	}
+	return clock.Millis(gapGoals * float64(t.route.GapGoal))
+}
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
-	"sync/atomic"
 
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/attempt"
-	"foxtailbridge/policy/cascade"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
-	"foxtailbridge/policy/evidence"
 	"foxtailbridge/policy/fault"
 	"foxtailbridge/policy/placement"
 	"foxtailbridge/policy/quarantine"
@@ -54,8 +49,6 @@
 	firstAt clock.Millis
 	// pause is the longest wait for an event after the first byte.
 	pause clock.Millis
-	// refused explains why no endpoint was found.
-	refused placement.Choice
 }
 
 const (
@@ -175,7 +168,6 @@
 
 // unplaced ends a request for which there is no endpoint.
 func (t *task) unplaced(choice placement.Choice) Result {
-	t.refused = choice
 	late := choice.Reason == routing.Reason(ReasonLate)
 	t.logger.Info("no-endpoint", "request", t.request.ID, "reason", choice.Reason, "considered", choice.Considered,
 		"free", choice.Free, "slots", choice.Slots, "waiting", choice.Waiting, "runs", t.runs)
@@ -258,92 +250,6 @@
 	return end, r
 }
 
-func (t *task) outgoing(ctx context.Context, r *run) *Attempt {
-	s := r.state
-	left := t.deadline - t.clock.Mono()
-	a := &Attempt{
-		Request: t.request, Endpoint: s.Endpoint, Workspace: t.workspace, Rank: t.rank, Model: t.model,
-		Left: left, FirstBy: left, After: t.after, Weights: t.weights, Stream: t.route.Stream,
-		Gap: t.gap(), Once: !t.repeatable(),
-	}
-	if t.repeatable() && t.sends <= t.route.Attempts-1 {
-		a.FirstBy = min(left, t.patience())
-	}
-	r.patience = a.FirstBy
-	a.Waits = func() bool { return t.route.Stream && r.waits(ctx) }
-	return a
-}
-
-// waits decides whether silence is waited out. An engine that answers others is
-// busy with long prompts, not dead; and without another place to go on there is
-// no use in ending an answer.
-func (r *run) waits(ctx context.Context) bool {
-	t := r.task
-	end := attempt.End{Sent: attempt.SentSome}
-	if !t.repeatable() || !t.another(&end) {
-		return true
-	}
-	now := t.clock.Mono()
-	since, patience, limit := r.sentAt, r.patience, t.limit(r.patience)
-	if at := clock.Millis(r.eventAt.Load()); at > 0 {
-		since, patience, limit = at, t.gap(), clock.Millis(pauseGaps*float64(t.route.GapGoal))
-	}
-	if now-since >= limit {
-		return false
-	}
-	return now-t.endpoints.lastHeard(r.state) < patience || t.parts.Sender.Alive(ctx, r.state.Endpoint)
-}
-
-const (
-	// slowRead is the prompt tokens that a busy engine reads in a millisecond.
-	slowRead = 8
-	// limitGoals is how many goals an answer's head may take at an engine that
-	// answers others, limitUsual how many times the usual: beyond that the answer
-	// is more likely lost than late.
-	limitGoals = 1.3
-	limitUsual = 5.0
-)
-
-// limit is the longest wait for an answer's head at an engine that answers others.
-func (t *task) limit(patience clock.Millis) clock.Millis {
-	read := clock.Millis(placement.Tokens(t.request.Parts) / slowRead)
-	limit := clock.Millis(limitGoals*float64(t.route.Goal)) + read
-	if usual := float64(t.endpoints.expected(delayKey{t.route.Name, t.model})); usual > 0 {
-		limit = min(limit, clock.Millis(limitUsual*usual*max(1, t.relativeRead())))
-	}
-	return max(patience, limit)
-}
-
-const (
-	// silenceGoals is how many goals an answer's head may take before a
-	// repeatable request is sent elsewhere.
-	silenceGoals = 0.4
-	// plainSilenceGoals is the same for plain requests, whose goal is short.
-	plainSilenceGoals = 2.5
-	// gapGoals is the part of the longest pause after which a stream goes on
-	// elsewhere if its engine is silent, pauseGaps how many such pauses it may
-	// rest at an engine that answers others.
-	gapGoals  = 0.45
-	pauseGaps = 1.6
-)
-
-// patience is how long a repeatable request waits for an answer's head.
-func (t *task) patience() clock.Millis {
-	goals := plainSilenceGoals
-	if t.route.Stream {
-		goals = silenceGoals
-	}
-	usual := t.endpoints.expected(delayKey{t.route.Name, t.model})
-	return max(clock.Millis(goals*float64(t.route.Goal)), 4*usual)
-}
-
-func (t *task) gap() clock.Millis {
-	if t.route.GapGoal == 0 || !t.route.Resumable {
-		return t.route.Timeout
-	}
-	return clock.Millis(gapGoals * float64(t.route.GapGoal))
-}
-
 // broken fills in the end of an attempt that brought no answer.
 func (t *task) broken(ctx context.Context, r *run, end *attempt.End, err error) {
 	kind := fault.KindOf[Kind](err)
@@ -413,60 +319,6 @@
 	return end.Sent == attempt.SentNothing || t.endpoints.hasRetry(t.service.Name)
 }
 
-// unsure reports whether a larger model should answer instead, and has room.
-func (t *task) unsure(answer *Answer) bool {
-	ladder := t.route.Ladder
-	if t.model == "" || t.begun || t.service.Engine == nil || len(ladder) == 0 || t.model == ladder[len(ladder)-1] {
-		return false
-	}
-	larger := ladder[len(ladder)-1]
-	q := t.query()
-	q.Tried, q.Model, q.Effort = nil, larger, t.service.Engine.Effort(larger)
-	room := t.endpoints.peek(t.view, t.service, q)
-	if room.State == nil || t.runs >= t.route.Attempts || !t.endpoints.hasSpare(t.service.Name) {
-		return false
-	}
-	now := t.clock.Mono()
-	key := delayKey{t.route.Name, larger}
-	events := t.request.Write
-	if stride := t.service.Engine.Stride; stride > 0 {
-		events /= stride
-	}
-	doubt := cascade.Doubt{
-		Confidence: answer.Confidence,
-		Value:      cascade.Value(int(t.route.Rank), float64(t.size()), t.endpoints.meanSize(t.route.Name)),
-		Price:      cascade.Price(t.service.Engine.Cost(larger), placement.Tokens(t.request.Parts), t.request.Write),
-		Fill:       1 - float64(room.Free)/float64(max(1, room.Slots)),
-		Goal:       t.route.Goal,
-		Left:       min(t.deadline, t.request.Began+t.route.Goal) - now,
-		Expected:   clock.Millis(float64(t.endpoints.expected(key)) * t.relativeRead()),
-		LeftWhole:  t.deadline - now,
-		Whole:      t.endpoints.expected(key) + clock.Millis(float64(events)*t.endpoints.pause(larger)),
-	}
-	return doubt.Escalate()
-}
-
-// relativeRead is how long reading this prompt takes against the route's mean.
-func (t *task) relativeRead() float64 {
-	mean := t.endpoints.meanSize(t.route.Name)
-	if mean <= 0 {
-		return 1
-	}
-	return readFloor + (1-readFloor)*float64(t.size())/mean
-}
-
-// readFloor is the part of the time to the first token that does not grow with
-// the prompt.
-const readFloor = 0.3
-
-// writeWeight is how many read tokens a written one counts for in a request's size.
-const writeWeight = 10
-
-// size measures the request for what its answer is worth.
-func (t *task) size() int {
-	return placement.Tokens(t.request.Parts) + writeWeight*t.request.Write
-}
-
 // follow takes the step after an attempt; done is true at the request's end.
 func (t *task) follow(ctx context.Context, end attempt.End, r *run) (Result, bool) {
 	if ctx.Err() != nil {
@@ -506,152 +358,3 @@
 	}
 	return own(http.StatusBadGateway, ReasonUnknown, 0), true
 }
-
-// deliver hands an answer to the caller; a stream that breaks may go on elsewhere.
-func (t *task) deliver(ctx context.Context, r *run) (Result, bool) {
-	answer := r.answer
-	t.releases.remember(t.sessionKey(), r.state.Endpoint.Release)
-	if t.firstAt == 0 {
-		t.firstAt = t.clock.Mono()
-	}
-	if answer.Next == nil {
-		r.rate(false)
-		r.end()
-		if t.digest != "" {
-			t.parts.Relay.Clear(t.digest)
-		}
-		return Result{Status: answer.Status, Header: answer.Header, Body: answer.Body, Reason: ReasonServed}, true
-	}
-	if !t.begun {
-		t.begun = true
-		t.release = r.state.Endpoint.Release
-		t.weights = answer.Weights
-		t.reply.Begin(answer.Status, answer.Header)
-	}
-	err := t.pump(answer, r)
-	if err == nil {
-		r.rate(false)
-		r.close()
-		if t.digest != "" {
-			t.parts.Relay.Clear(t.digest)
-		}
-		return Result{Reason: ReasonServed}, true
-	}
-	r.close()
-	if ctx.Err() != nil || errors.Is(err, errCaller) {
-		return Result{Reason: ReasonGone, Own: true, Cut: true}, true
-	}
-	end := attempt.End{Sent: attempt.SentSome, Repeatable: t.repeatable(), Resumable: t.route.Resumable, Begun: true, RanBefore: true}
-	t.runs-- // broken counts it again
-	t.broken(ctx, r, &end, err)
-	return t.follow(ctx, end, r)
-}
-
-// errCaller marks a failed write to the caller.
-var errCaller = errors.New("the caller does not take the answer")
-
-// pump passes events on as they come until the stream's proper end.
-func (t *task) pump(answer *Answer, r *run) error {
-	began, events := t.clock.Mono(), 0
-	last := began
-	defer func() { t.endpoints.paced(r.key.model, t.clock.Mono()-began, events) }()
-	for {
-		event, err := answer.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		events++
-		now := t.clock.Mono()
-		t.pause = max(t.pause, now-last)
-		last = now
-		r.eventAt.Store(int64(now))
-		t.endpoints.touched(r.state)
-		if err := t.reply.Write(event.Raw); err != nil {
-			return errCaller
-		}
-		if event.ID != "" {
-			t.after = event.ID
-		}
-	}
-}
-
-// run is one attempt that reached an endpoint.
-type run struct {
-	task   *task
-	state  *placement.State
-	answer *Answer
-	key    delayKey
-	sentAt clock.Millis
-	// reading is the weighed tokens that the endpoint has yet to read.
-	reading float64
-	ended   bool
-	rated   bool
-	slow    bool
-	// patience is the wait for the answer's head.
-	patience clock.Millis
-	// eventAt is when the last event came; the sender's timer reads it too.
-	eventAt atomic.Int64
-}
-
-// first notes the answer's head.
-func (r *run) first() {
-	t := r.task
-	now := t.clock.Mono()
-	t.endpoints.begun(r.state, t.request.Parts, r.key.model, &r.reading)
-	fresh := now-r.state.Since < settleSpan
-	r.slow = t.endpoints.delay(r.state, r.key, now-r.sentAt, t.arm != ArmNew && !fresh) && !fresh
-}
-
-// settleSpan is how long a new endpoint may be slow.
-const settleSpan = 4 * clock.Second
-
-// rate counts the run for its endpoint and, during an order, for its release.
-func (r *run) rate(failed bool) {
-	if r.rated {
-		return
-	}
-	r.rated = true
-	t := r.task
-	t.endpoints.rate(r.state, t.service.Name, failed)
-	if t.progress == nil || t.progress.outcome != registry.OutcomeRunning || r.answer == nil {
-		return // A channel that broke says more of the endpoint than of its release.
-	}
-	arm := evidence.ArmFrom
-	if r.state.Endpoint.Release == t.progress.order.Target {
-		arm = evidence.ArmTo
-	}
-	series := Series(t.progress.order, t.route.Name, arm)
-	good := !failed && !r.slow
-	t.parts.Relay.Rate(series, good)
-	if !good && arm == evidence.ArmTo {
-		series.Endpoint = string(r.state.Endpoint.ID)
-		t.parts.Relay.Rate(series, false)
-	}
-}
-
-// Series names the evidence on one arm of an order for one route.
-func Series(order *catalog.Order, route catalog.RouteName, arm evidence.Arm) evidence.Series {
-	s := evidence.RolloutSeries(ticket.RolloutName(order.Service), ticket.Number(order.Number), arm)
-	s.Class = ticket.Class(route)
-	return s
-}
-
-// end takes the run off its endpoint.
-func (r *run) end() {
-	if r.ended {
-		return
-	}
-	r.ended = true
-	r.task.endpoints.ended(r.state, &r.reading)
-}
-
-// close ends the attempt at the endpoint too.
-func (r *run) close() {
-	if r.answer != nil {
-		r.answer.Close()
-	}
-	r.end()
-}
--- /dev/null
+++ b/entry/relay/tallies.go
@@ -0,0 +1,123 @@
+package relay
+
+import (
+	"maps"
+
+	"github.com/uber-go/tally/v4"
+
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/evidence"
+	"foxtailbridge/policy/routing"
+	"foxtailbridge/policy/ticket"
+)
+
+// loads fills in the requests at endpoints; the caller holds the members' lock.
+func (r *Relay) loads(m *Message, to string, own map[routing.EndpointID]int, reader, sameZone bool, now clock.Millis) {
+	switch {
+	case !reader && sameZone:
+		m.LoadsOf, m.Loads = WhoseOwn, own
+	case reader && sameZone:
+		m.LoadsOf, m.Loads = WhoseOthers, r.sum(now, own, func(p *peer) bool { return p.member.Name != to })
+	case reader:
+		m.LoadsOf, m.Loads = WhoseZone, r.sum(now, own, func(p *peer) bool { return p.loadsOf == WhoseOwn })
+	}
+}
+
+// sum adds what the chosen peers told lately; the caller holds the members' lock.
+func (r *Relay) sum(now clock.Millis, own map[routing.EndpointID]int, choose func(*peer) bool) map[routing.EndpointID]int {
+	total := make(map[routing.EndpointID]int, len(own))
+	maps.Copy(total, own)
+	for _, p := range r.members.peers {
+		if p.loadsOf == WhoseOthers || now-p.loadsAt > loadSpan || !choose(p) {
+			continue
+		}
+		for id, n := range p.loads {
+			total[id] += n
+		}
+	}
+	return total
+}
+
+// others tells this instance, if it reads for its zone, what all others have at
+// endpoints; a plain member hears that from its reader.
+func (r *Relay) others(m *Message, now clock.Millis) {
+	if m.LoadsOf == WhoseOthers {
+		r.Loaded(m.Loads)
+		return
+	}
+	r.members.mu.Lock()
+	total := r.sum(now, nil, func(*peer) bool { return true })
+	r.members.mu.Unlock()
+	r.Loaded(total)
+}
+
+// rows returns the evidence for a peer; the caller holds the lock.
+func (r *Relay) rows(sameZone, reader bool, zone ticket.ZoneName) []row {
+	var list []row
+	if !reader {
+		if sameZone {
+			for _, e := range r.own.All() {
+				if e.Instance == r.members.self.instance() {
+					list = append(list, encodeRow(e, ""))
+				}
+			}
+		}
+		return list
+	}
+	if sameZone {
+		return nil
+	}
+	r.foldZone(zone)
+	for _, e := range r.zones.All() {
+		list = append(list, encodeRow(e, ticket.ZoneName(e.Instance)))
+	}
+	return list
+}
+
+// foldZone takes the sum of this zone's instances into the sums of all zones.
+// A new reader starts from what its members report again, so the larger of old
+// and new sum holds.
+func (r *Relay) foldZone(zone ticket.ZoneName) {
+	r.zones.Merge(r.own.Fold(string(zone)))
+}
+
+// Rate counts an answer on one arm of an order.
+func (r *Relay) Rate(series evidence.Series, good bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.own.Rate(series, good)
+}
+
+// Sum returns all zones' tally of a series; only a zone's reader knows it fully.
+func (r *Relay) Sum(series evidence.Series) evidence.Tally {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.foldZone(r.members.self.Zone)
+	return r.zones.Sum(series)
+}
+
+// BadEndpoints returns how many endpoints gave bad answers of a series.
+func (r *Relay) BadEndpoints(series evidence.Series) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.foldZone(r.members.self.Zone)
+	count := 0
+	r.zones.Each(func(s evidence.Series, tally evidence.Tally) {
+		if s.Endpoint == "" || tally.Bad == 0 {
+			return
+		}
+		s.Endpoint = ""
+		if s == series {
+			count++
+		}
+	})
+	return count
+}
+
+// Retain forgets evidence that keep rejects.
+func (r *Relay) Retain(keep func(evidence.Series) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.own.Retain(keep)
+	r.zones.Retain(keep)
+}
