--- a/entry/relay/tallies.go
+++ b/entry/relay/tallies.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 
-	"github.com/uber-go/tally/v4"
-
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
 	"foxtailbridge/policy/routing"
