--- a/link/telemetry/queue.go
+++ b/link/telemetry/queue.go
@@ -14,12 +14,13 @@
 type Queue struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	quit    chan struct{}
 	done    chan struct{}
 }
 
 // NewQueue returns a Queue in front of the output.
 func NewQueue(output io.Writer) *Queue {
-	q := &Queue{lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	q := &Queue{lines: make(chan []byte, queueLines), quit: make(chan struct{}), done: make(chan struct{})}
 	go q.drain(output)
 	return q
 }
@@ -36,16 +37,34 @@
 
 func (q *Queue) drain(output io.Writer) {
 	defer close(q.done)
-	for line := range q.lines {
-		if n := q.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(output, "[WARN] log-lines-dropped: count=%d\n", n)
+	for {
+		select {
+		case line := <-q.lines:
+			q.put(output, line)
+			continue
+		case <-q.quit:
 		}
-		_, _ = output.Write(line) // There is nowhere else to tell of a failure.
+		break
 	}
+	for {
+		select {
+		case line := <-q.lines:
+			q.put(output, line)
+		default:
+			return
+		}
+	}
+}
+
+func (q *Queue) put(output io.Writer, line []byte) {
+	if n := q.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(output, "[WARN] log-lines-dropped: count=%d\n", n)
+	}
+	_, _ = output.Write(line) // There is nowhere else to tell of a failure.
 }
 
-// Close writes what is queued; nothing may be written afterwards.
+// Close writes what is queued; what is written afterwards is lost.
 func (q *Queue) Close() {
-	close(q.lines)
+	close(q.quit)
 	<-q.done
 }
--- /dev/null
+++ b/link/telemetry/queue_test.go
@@ -0,0 +1,47 @@
+package telemetry
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// stuck is an output that takes nothing until it is let go.
+type stuck struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(p)
+}
+
+func TestQueueNeverBlocks(t *testing.T) {
+	out := &stuck{}
+	out.mu.Lock()
+	q := NewQueue(out)
+	done := make(chan struct{})
+	go func() {
+		for range 3 * queueLines {
+			_, _ = q.Write([]byte("line\n"))
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a writer waits for the output")
+	}
+	out.mu.Unlock()
+	q.Close()
+	if text := out.buf.String(); !strings.Contains(text, "log-lines-dropped: count=") || strings.Count(text, "line\n") < queueLines {
+		t.Errorf("%d bytes written, dropped lines told: %v", len(text), strings.Contains(text, "log-lines-dropped"))
+	}
+	if _, err := q.Write([]byte("late\n")); err != nil {
+		t.Error(err)
+	}
+}
