--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -143,7 +143,7 @@
 	}
 	answers := int64(0)
 	for route, to := range s.to {
-		answers += to.Rated()
+		answers = max(answers, to.Rated())
 		from, spans := d.spans(w, s, route, now)
 		if rollout.JudgeSpans(from, spans, assumedRate) == rollout.VerdictStop {
 			spread := d.relay.BadEndpoints(forward.Series(order, route, evidence.ArmTo))
@@ -167,6 +167,14 @@
 	}
 }
 
+// allRoutes stands for the sum of all routes: a release that is bad on each of
+// them shows there first.
+const allRoutes catalog.RouteName = ""
+
+func plus(a, b evidence.Tally) evidence.Tally {
+	return evidence.Tally{Exposed: a.Exposed + b.Exposed, Good: a.Good + b.Good, Bad: a.Bad + b.Bad}
+}
+
 // release counts the endpoints of an order's new release.
 func release(view *registry.State, order *catalog.Order) int {
 	count := 0
@@ -183,6 +191,8 @@
 	for _, route := range view.Config.RoutesOf(order.Service) {
 		s.to[route] = d.relay.Sum(forward.Series(order, route, evidence.ArmTo))
 		s.from[route] = d.relay.Sum(forward.Series(order, route, evidence.ArmFrom))
+		s.to[allRoutes] = plus(s.to[allRoutes], s.to[route])
+		s.from[allRoutes] = plus(s.from[allRoutes], s.from[route])
 	}
 	return s
 }
--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -55,7 +55,11 @@
 func (t *task) pump(answer *Answer, r *run) error {
 	began, events := t.clock.Mono(), 0
 	last := began
-	defer func() { t.endpoints.paced(r.key.model, t.clock.Mono()-began, events) }()
+	defer func() {
+		if t.arm != ArmNew {
+			t.endpoints.paced(r.key.model, t.clock.Mono()-began, events)
+		}
+	}()
 	for {
 		event, err := answer.Next()
 		if errors.Is(err, io.EOF) {
@@ -69,6 +73,11 @@
 		t.pause = max(t.pause, now-last)
 		last = now
 		r.eventAt.Store(int64(now))
+		if !r.slow && t.endpoints.slowPace(r.key.model, now-began, events) {
+			// A long stream is counted now: its end is too late to stop a release.
+			r.slow = true
+			r.rate(false)
+		}
 		t.endpoints.touched(r.state)
 		if err := t.reply.Write(event.Raw); err != nil {
 			return errCaller
--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -386,7 +386,27 @@
 		a = &placement.Average{}
 		e.pauses[model] = a
 	}
-	smooth(a, float64(span)/float64(events), pauseRuns)
+	smooth(a, float64(span)/float64(events-1), pauseRuns)
+}
+
+const (
+	// paceFactor and paceFloor say how much longer than usual the time between
+	// events is, in milliseconds, that counts as slow; paceEvents is how many
+	// events it takes to say so.
+	paceFactor = 3.0
+	paceFloor  = 12.0
+	paceEvents = 3
+)
+
+// slowPace reports whether a stream's events come much slower than usual.
+func (e *endpoints) slowPace(model ticket.ModelName, span clock.Millis, events int) bool {
+	if events < paceEvents {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := e.pauses[model]
+	return a != nil && a.Count >= usualRuns && float64(span)/float64(events-1) > paceFactor*a.Mean+paceFloor
 }
 
 // pause returns the usual time between events of a model in milliseconds.
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -19,6 +19,7 @@
 	"foxtailbridge/policy/cascade"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/evidence"
 	"foxtailbridge/policy/fault"
 	"foxtailbridge/policy/placement"
 	"foxtailbridge/policy/quarantine"
@@ -35,6 +36,7 @@
 	answer func(n int, a *Attempt) (*Answer, error)
 	sent   []*Attempt
 	dead   map[routing.EndpointID]bool
+	facts  map[string]registry.Fact
 }
 
 const (
@@ -66,6 +68,7 @@
 	c := clock.New()
 	b.registry = registry.New(c, hclog.NewNullLogger())
 	facts := map[string]registry.Fact{}
+	b.facts = facts
 	b.registry.Decode = func(r *registry.Record) (registry.Fact, error) { return facts[r.Key+string(r.Value)], nil }
 	b.relay = relay.New(relay.Member{Name: "i", Zone: "a", Run: "1"}, nil, relay.Parts{
 		Registry: b.registry, Clock: c, Random: rand.New(rand.NewPCG(1, 2)), Logger: hclog.NewNullLogger(), Scope: tally.NoopScope,
@@ -416,3 +419,48 @@
 		}
 	})
 }
+
+// TestSlowReleaseIsCountedEarly brings in a release whose first bytes come in time
+// and whose events come eight times slower: the evidence is there long before its
+// streams end.
+func TestSlowReleaseIsCountedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		slow := false
+		b.answer = func(int, *Attempt) (*Answer, error) {
+			at := 0
+			pause := 100 * time.Millisecond
+			if slow {
+				pause *= 8
+			}
+			return &Answer{Status: 200, Confidence: 90, Close: func() {}, Next: func() (Event, error) {
+				if at++; at > 12 {
+					return Event{}, io.EOF
+				}
+				time.Sleep(pause)
+				return Event{ID: EventID(fmt.Sprint(at)), Raw: []byte("x")}, nil
+			}}, nil
+		}
+		for range 2 * usualRuns {
+			b.serve(t.Context(), "/note/x", nil)
+		}
+		order := &catalog.Order{Number: 5, Service: "engines", Target: "v2", Span: 20 * clock.Second}
+		b.facts["orderx"] = registry.Fact{Order: order}
+		b.facts["newx"] = registry.Fact{Endpoint: &catalog.Endpoint{ID: "new", Born: 1, Service: "engines", Zone: "a", Release: "v2", Slots: 6}}
+		b.registry.Merge(registry.Batch{Feed: registry.FeedEndpoints, Records: []registry.Record{{Key: "new", Value: []byte("x"), Offset: 8}}, From: 8, Head: 9})
+		b.registry.Merge(registry.Batch{Feed: registry.FeedOrders, Records: []registry.Record{{Key: "order", Value: []byte("x"), Offset: 1}}, From: 1, Head: 2})
+		slow = true
+		// In the full phase every session gets the new release.
+		time.Sleep(15 * time.Second)
+		go b.serve(t.Context(), "/note/x", nil)
+		time.Sleep(5 * time.Second)
+		series := Series(order, "note", evidence.ArmTo)
+		if got := b.relay.Sum(series); got.Bad != 1 {
+			t.Errorf("%+v counted 5 s into a stream of 10 s", got)
+		}
+		time.Sleep(10 * time.Second)
+		if got := b.relay.Sum(series); got.Rated() != 1 {
+			t.Errorf("%+v counted for one stream", got)
+		}
+	})
+}
--- a/entry/relay/tallies.go
+++ b/entry/relay/tallies.go
@@ -94,22 +94,27 @@
 	return r.zones.Sum(series)
 }
 
-// BadEndpoints returns how many endpoints gave bad answers of a series.
+// BadEndpoints returns how many endpoints gave bad answers of a series; one
+// without a class stands for all classes.
 func (r *Relay) BadEndpoints(series evidence.Series) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.foldZone(r.members.self.Zone)
-	count := 0
+	found := map[string]bool{}
 	r.zones.Each(func(s evidence.Series, tally evidence.Tally) {
 		if s.Endpoint == "" || tally.Bad == 0 {
 			return
 		}
+		endpoint := s.Endpoint
 		s.Endpoint = ""
+		if series.Class == "" {
+			s.Class = ""
+		}
 		if s == series {
-			count++
+			found[endpoint] = true
 		}
 	})
-	return count
+	return len(found)
 }
 
 // Retain forgets evidence that keep rejects.
