--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -73,7 +73,7 @@
 		t.pause = max(t.pause, now-last)
 		last = now
 		r.eventAt.Store(int64(now))
-		if !r.slow && t.endpoints.slowPace(r.key.model, now-began, events) {
+		if !r.slow && t.endpoints.slowPace(r.key.model, now-began, events, t.paceFactor()) {
 			// A long stream is counted now: its end is too late to stop a release.
 			r.slow = true
 			r.rate(false)
--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -393,20 +393,24 @@
 	// paceFactor and paceFloor say how much longer than usual the time between
 	// events is, in milliseconds, that counts as slow; paceEvents is how many
 	// events it takes to say so.
-	paceFactor = 3.0
-	paceFloor  = 12.0
+	paceFactor = 2.0
+	paceFloor  = 6.0
 	paceEvents = 3
+	// movedFactor takes paceFactor's place once all traffic has moved: the new
+	// endpoints then take the whole load without kept prompts, and nothing runs
+	// on the old release to compare with.
+	movedFactor = 4.0
 )
 
 // slowPace reports whether a stream's events come much slower than usual.
-func (e *endpoints) slowPace(model ticket.ModelName, span clock.Millis, events int) bool {
+func (e *endpoints) slowPace(model ticket.ModelName, span clock.Millis, events int, factor float64) bool {
 	if events < paceEvents {
 		return false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	a := e.pauses[model]
-	return a != nil && a.Count >= usualRuns && float64(span)/float64(events-1) > paceFactor*a.Mean+paceFloor
+	return a != nil && a.Count >= usualRuns && float64(span)/float64(events-1) > factor*a.Mean+paceFloor
 }
 
 // pause returns the usual time between events of a model in milliseconds.
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -8,6 +8,7 @@
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
 	"foxtailbridge/policy/placement"
+	"foxtailbridge/policy/rollout"
 	"foxtailbridge/policy/ticket"
 )
 
@@ -65,6 +66,14 @@
 	}
 }
 
+// paceFactor is how many times its usual pace a stream may take.
+func (t *task) paceFactor() float64 {
+	if t.progress != nil && t.progress.phase != rollout.PhaseCanary {
+		return movedFactor
+	}
+	return paceFactor
+}
+
 // Series names the evidence on one arm of an order for one route.
 func Series(order *catalog.Order, route catalog.RouteName, arm evidence.Arm) evidence.Series {
 	s := evidence.RolloutSeries(ticket.RolloutName(order.Service), ticket.Number(order.Number), arm)
