--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -464,3 +464,31 @@
 		}
 	})
 }
+
+// TestNextOrderAfterARollBack has an operator order a third release while endpoints
+// of the second, which was rolled back, still run.
+func TestNextOrderAfterARollBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		b.answer = func(int, *Attempt) (*Answer, error) { return stream(90, io.EOF, "1"), nil }
+		b.facts["orderv2"] = registry.Fact{Order: &catalog.Order{Number: 5, Service: "engines", Target: "v2", Span: 20 * clock.Second}}
+		b.facts["orderv3"] = registry.Fact{Order: &catalog.Order{Number: 9, Service: "engines", Target: "v3", Span: 20 * clock.Second}}
+		b.facts["badx"] = registry.Fact{Endpoint: &catalog.Endpoint{ID: "bad", Born: 1, Service: "engines", Zone: "a", Release: "v2", Slots: 600}}
+		b.registry.Merge(registry.Batch{Feed: registry.FeedEndpoints, Records: []registry.Record{{Key: "bad", Value: []byte("x"), Offset: 8}}, From: 8, Head: 9})
+		b.registry.Merge(registry.Batch{Feed: registry.FeedOrders, Records: []registry.Record{{Key: "order", Value: []byte("v2"), Offset: 1}}, From: 1, Head: 2})
+		b.relay.Stop(5, "evidence")
+		b.serve(t.Context(), "/note/x", nil)
+		b.registry.Merge(registry.Batch{Feed: registry.FeedOrders, Records: []registry.Record{{Key: "order", Value: []byte("v3"), Offset: 2}}, From: 2, Head: 3})
+		for i := range 40 {
+			b.serve(t.Context(), "/note/x", func(r *Request) {
+				r.ID = RequestID(fmt.Sprint(i))
+				r.Parts = []placement.Part{{ID: placement.PartID(fmt.Sprint("s", i)), Tokens: 500}, {ID: "own", Tokens: 600}}
+			})
+		}
+		for _, a := range b.sent {
+			if a.Endpoint.ID == "bad" {
+				t.Fatal("a request went to the release that was rolled back")
+			}
+		}
+	})
+}
--- a/entry/forward/releases.go
+++ b/entry/forward/releases.go
@@ -34,6 +34,13 @@
 	mu       sync.Mutex
 	sessions map[string]pin
 	swept    clock.Millis
+	// bad holds the releases that an order brought in and that were rolled back.
+	bad map[badRelease]bool
+}
+
+type badRelease struct {
+	service ticket.ServiceName
+	release catalog.Release
 }
 
 // pin is the release on which a session ran last.
@@ -64,9 +71,39 @@
 	} else if r.stopped(order.Number) {
 		p.outcome = registry.OutcomeRolledBack
 	}
+	r.note(service, p)
 	return p
 }
 
+// note remembers a release that was rolled back: its endpoints go on for some
+// seconds, and the next order must not take them for the old release.
+func (r *releases) note(service ticket.ServiceName, p *progress) {
+	key := badRelease{service, p.order.Target}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p.outcome == registry.OutcomeRolledBack {
+		r.bad[key] = true
+	} else {
+		delete(r.bad, key)
+	}
+}
+
+// sound filters out the endpoints of releases that were rolled back.
+func (r *releases) sound(view *registry.State) func(*catalog.Endpoint) bool {
+	return func(e *catalog.Endpoint) bool {
+		r.mu.Lock()
+		bad := r.bad[badRelease{e.Service, e.Release}]
+		r.mu.Unlock()
+		return !bad && view.Holds(e)
+	}
+}
+
+// old filters the endpoints of the release that an order replaces.
+func (r *releases) old(view *registry.State, p *progress) func(*catalog.Endpoint) bool {
+	sound, target := r.sound(view), p.order.Target
+	return func(e *catalog.Endpoint) bool { return e.Release != target && sound(e) }
+}
+
 // shareBuckets is the resolution of a canary's share.
 const shareBuckets = 10000
 
@@ -74,12 +111,12 @@
 func (r *releases) pick(view *registry.State, service ticket.ServiceName, session string) (Arm, func(*catalog.Endpoint) bool, *progress) {
 	p := r.orderOf(view, service)
 	if p == nil {
-		return ArmAny, view.Holds, nil
+		return ArmAny, r.sound(view), nil
 	}
 	arm := r.arm(p, session)
 	target := p.order.Target
 	if arm == ArmOld {
-		return arm, func(e *catalog.Endpoint) bool { return e.Release != target && view.Holds(e) }, p
+		return arm, r.old(view, p), p
 	}
 	return arm, func(e *catalog.Endpoint) bool { return e.Release == target && view.Holds(e) }, p
 }
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -151,8 +151,7 @@
 	}
 	if t.release == "" && t.arm == ArmNew {
 		t.arm = ArmOld
-		target, view := t.progress.order.Target, t.view
-		q.Accept = func(e *catalog.Endpoint) bool { return e.Release != target && view.Holds(e) }
+		q.Accept = t.releases.old(t.view, t.progress)
 		choice = t.endpoints.choose(t.view, t.service, q)
 	}
 	if choice.State == nil && !q.Risky {
