Ask members that were taken for lost again

Two members whose exchange failed each took the other for lost, and neither asked again while readers of other zones answered; so a zone kept several readers for good, more calls and evidence in parts. TestPeersMeetAgain: 6 readers in two zones before, 2 after. TestEvidence 20 times green after. Ruled out: load; the cause is in the order of the first exchanges.

--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -78,6 +78,18 @@
 	return now-p.heard < aliveSpan && !p.leaving
 }
 
+// lost returns a member of the own zone that did not answer last and may be asked
+// again, the one asked longest ago, or nil.
+func (m *members) lost(now clock.Millis) *peer {
+	var oldest *peer
+	for _, p := range m.peers {
+		if p.member.Zone == m.self.Zone && p.failing && now >= p.retry && (oldest == nil || p.retry < oldest.retry) {
+			oldest = p
+		}
+	}
+	return oldest
+}
+
 // ranked returns the live members of a zone in the order in which they take duties.
 func (m *members) ranked(zone ticket.ZoneName, now clock.Millis) []Member {
 	var list []Member
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -289,3 +289,29 @@
 		}
 	})
 }
+
+// TestPeersMeetAgain cuts the members of a zone from each other for a while, so
+// that each takes the others for lost: afterwards one of them reads again.
+func TestPeersMeetAgain(t *testing.T) {
+	inBubble(t, func(ctx context.Context) {
+		f := newFleet(ctx, 2, 3)
+		time.Sleep(4 * time.Second)
+		f.mu.Lock()
+		f.cut = func(from, to string) bool { return from[:2] == to[:2] }
+		f.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		f.mu.Lock()
+		f.cut = func(string, string) bool { return false }
+		f.mu.Unlock()
+		time.Sleep(6 * time.Second)
+		readers := 0
+		for _, r := range f.relays {
+			if r.Rank() == 0 {
+				readers++
+			}
+		}
+		if readers != 2 {
+			t.Errorf("%d readers in two zones", readers)
+		}
+	})
+}
--- a/entry/relay/rounds.go
+++ b/entry/relay/rounds.go
@@ -77,6 +77,10 @@
 			}
 		}
 	}
+	if lost := m.lost(now); reader && lost != nil {
+		// Two members that each take the other for lost would both read for good.
+		add(lost.member)
+	}
 	if age > lonelySpan || len(list) == 0 {
 		list = append(list, r.anyone(now)...)
 	}
