--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -423,13 +423,19 @@
 	return 0
 }
 
+// retries returns a service's budget with this instance's present part of the
+// fleet's slack; the caller holds the lock.
+func (e *endpoints) retries(service ticket.ServiceName) *share.Retries {
+	p := e.pool(service)
+	p.retries.Slack = e.limits.Load().RetrySlack * ownPart / float64(max(1, e.instances()))
+	return &p.retries
+}
+
 // takeRetry spends one repeat of this instance's part of the fleet's budget.
 func (e *endpoints) takeRetry(service ticket.ServiceName) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p := e.pool(service)
-	p.retries.Slack = e.limits.Load().RetrySlack * ownPart / float64(max(1, e.instances()))
-	return p.retries.Take(e.clock.Mono())
+	return e.retries(service).Take(e.clock.Mono())
 }
 
 // hasSpare reports whether enough of the budget is left for a repeat that could
@@ -437,9 +443,7 @@
 func (e *endpoints) hasSpare(service ticket.ServiceName) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p := e.pool(service)
-	p.retries.Slack = e.limits.Load().RetrySlack * ownPart / float64(max(1, e.instances()))
-	return p.retries.Left(e.clock.Mono()) > sparePart
+	return e.retries(service).Left(e.clock.Mono()) > sparePart
 }
 
 // sparePart is the part of the budget kept for repeats after failures.
@@ -449,7 +453,5 @@
 func (e *endpoints) hasRetry(service ticket.ServiceName) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p := e.pool(service)
-	p.retries.Slack = e.limits.Load().RetrySlack * ownPart / float64(max(1, e.instances()))
-	return p.retries.Has(e.clock.Mono())
+	return e.retries(service).Has(e.clock.Mono())
 }
