Tell all instances which sessions ran on the old release before a canary begins

A stream that ended after the order was also forgotten, since its time was counted from its begin. Change: in the first 1.5 s of an order nothing goes to the new release; machines pass on the sessions that the canary would take, and these stay on the old release for the first half. The share then ramps up between 0.60 and 0.76 of the order's time instead of jumping at 0.70.

--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -94,7 +94,7 @@
 		}
 		if !live {
 			delete(d.watches, number)
-			d.relay.Retain(func(s evidence.Series) bool { return s.Number != ticket.Number(number) })
+			d.relay.Forget(number)
 		}
 	}
 }
--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -6,12 +6,13 @@
 	"io"
 
 	"foxtailbridge/policy/attempt"
+	"foxtailbridge/policy/clock"
 )
 
 // deliver hands an answer to the caller; a stream that breaks may go on elsewhere.
 func (t *task) deliver(ctx context.Context, r *run) (Result, bool) {
 	answer := r.answer
-	t.releases.remember(t.sessionKey(), r.state.Endpoint.Release)
+	t.remember(r, t.deadline)
 	if t.firstAt == 0 {
 		t.firstAt = t.clock.Mono()
 	}
@@ -30,6 +31,7 @@
 		t.reply.Begin(answer.Status, answer.Header)
 	}
 	err := t.pump(answer, r)
+	t.remember(r, t.clock.Mono())
 	if err == nil {
 		r.rate(false)
 		r.close()
@@ -48,6 +50,15 @@
 	return t.follow(ctx, end, r)
 }
 
+// remember pins the request's session to the release that answers it until ends.
+func (t *task) remember(r *run, ends clock.Millis) {
+	if t.request.Session == "" {
+		return
+	}
+	p := t.releases.orderOf(t.parts.Registry.View(), t.service.Name)
+	t.releases.remember(t.request.Session, r.state.Endpoint.Release, ends, p)
+}
+
 // errCaller marks a failed write to the caller.
 var errCaller = errors.New("the caller does not take the answer")
 
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -65,7 +65,7 @@
 		clock:     parts.Clock,
 		logger:    logger,
 		endpoints: newEndpoints(parts.Clock, logger, limits, parts.Random),
-		releases:  &releases{clock: parts.Clock, limits: limits, stopped: parts.Relay.Stopped, sessions: map[string]pin{}, bad: map[badRelease]bool{}},
+		releases:  newReleases(parts.Clock, limits, parts.Relay),
 	}
 	f.endpoints.instances = parts.Relay.Instances
 	parts.Relay.Loads = f.endpoints.own
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -63,16 +64,36 @@
 	return catalog.NewConfig(1, routes, services, []*catalog.Workspace{{Name: "w", Keys: keys}}, true, catalog.Limits{})
 }
 
-func newBench() *bench {
+// network lets the relays of several benches reach each other by name.
+type network map[string]http.Handler
+
+func (n network) Do(r *http.Request) (*http.Response, error) {
+	recorder := httptest.NewRecorder()
+	n[r.URL.Host].ServeHTTP(recorder, r)
+	return recorder.Result(), nil
+}
+
+func newBench() *bench { return newMember("i", network{}) }
+
+// newMember returns a bench whose relay reaches the others of the network.
+func newMember(name string, n network) *bench {
 	b := &bench{dead: map[routing.EndpointID]bool{}}
 	c := clock.New()
 	b.registry = registry.New(c, hclog.NewNullLogger())
 	facts := map[string]registry.Fact{}
 	b.facts = facts
 	b.registry.Decode = func(r *registry.Record) (registry.Fact, error) { return facts[r.Key+string(r.Value)], nil }
-	b.relay = relay.New(relay.Member{Name: "i", Zone: "a", Run: "1"}, nil, relay.Parts{
-		Registry: b.registry, Clock: c, Random: rand.New(rand.NewPCG(1, 2)), Logger: hclog.NewNullLogger(), Scope: tally.NoopScope,
+	var seeds []string
+	for seed := range n {
+		seeds = append(seeds, seed)
+	}
+	b.relay = relay.New(relay.Member{Name: name, Zone: "a", Address: name, Run: "1"}, seeds, relay.Parts{
+		Registry: b.registry, Client: n, Clock: c, Random: rand.New(rand.NewPCG(1, 2)), Logger: hclog.NewNullLogger(), Scope: tally.NoopScope,
 	})
+	path, handler := b.relay.Handler()
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	n[name] = mux
 	limits := &Limits{Zone: "a", RetryRatio: 0.9, RetrySlack: 58, RetrySpan: 10000, Exposure: 0.15, SessionSpan: 5000, Confirmed: 3000}
 	b.Forwarder = New(limits, Parts{
 		Registry: b.registry, Relay: b.relay, Clock: c, Random: rand.New(rand.NewPCG(1, 2)), Logger: hclog.NewNullLogger(), Scope: tally.NoopScope,
@@ -465,6 +486,65 @@
 	})
 }
 
+// order gives the bench an order for a second release, with one endpoint of it.
+func (b *bench) order(number catalog.OrderNumber, span clock.Millis) *catalog.Order {
+	order := &catalog.Order{Number: number, Service: "engines", Target: "v2", Span: span}
+	b.facts["orderx"] = registry.Fact{Order: order}
+	b.facts["newx"] = registry.Fact{Endpoint: &catalog.Endpoint{ID: "new", Born: 1, Service: "engines", Zone: "a", Release: "v2", Slots: 600}}
+	b.registry.Merge(registry.Batch{Feed: registry.FeedEndpoints, Records: []registry.Record{{Key: "new", Value: []byte("x"), Offset: 8}}, From: 8, Head: 9})
+	b.registry.Merge(registry.Batch{Feed: registry.FeedOrders, Records: []registry.Record{{Key: "order", Value: []byte("x"), Offset: 1}}, From: 1, Head: 2})
+	return order
+}
+
+// TestSessionsOfOtherInstances has sessions run on the old release at one instance
+// and go on at another as a canary begins: callers' sessions reach many instances.
+func TestSessionsOfOtherInstances(t *testing.T) {
+	const sessions = 400
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := network{}
+		first, second := newMember("first", n), newMember("second", n)
+		for _, b := range []*bench{first, second} {
+			b.answer = func(int, *Attempt) (*Answer, error) { return stream(90, io.EOF, "1"), nil }
+			go b.relay.Run(ctx)
+		}
+		turn := func(b *bench, i int) {
+			b.serve(ctx, "/note/x", func(r *Request) {
+				r.ID, r.Session = RequestID(fmt.Sprint(len(b.sent))), fmt.Sprint("session", i)
+			})
+		}
+		for i := range sessions {
+			turn(first, i)
+		}
+		for _, b := range []*bench{first, second} {
+			b.order(5, 20*clock.Second)
+		}
+		turn(first, sessions)
+		time.Sleep(3 * time.Second)
+		for i := range sessions {
+			turn(second, i)
+		}
+		for i := range sessions {
+			turn(second, sessions+1+i)
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+		moved, fresh := 0, 0
+		for i, a := range second.sent {
+			switch {
+			case a.Endpoint.Release != "v2":
+			case i < sessions:
+				moved++
+			default:
+				fresh++
+			}
+		}
+		if moved > 0 || fresh == 0 {
+			t.Errorf("%d sessions of %d changed the release in the first half of the order; %d new ones began on the new release", moved, sessions, fresh)
+		}
+	})
+}
+
 // TestNextOrderAfterARollBack has an operator order a third release while endpoints
 // of the second, which was rolled back, still run.
 func TestNextOrderAfterARollBack(t *testing.T) {
--- a/entry/forward/releases.go
+++ b/entry/forward/releases.go
@@ -1,12 +1,14 @@
 package forward
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
 	"foxtailbridge/entry/registry"
+	"foxtailbridge/entry/relay"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/rollout"
@@ -30,12 +32,25 @@
 	limits *atomic.Pointer[Limits]
 	// stopped reports whether an order's new release was found bad.
 	stopped func(catalog.OrderNumber) bool
+	// hold tells all instances to keep a session on the old release, held
+	// reports whether any did.
+	hold func(relay.Hold)
+	held func(relay.Hold) bool
 
 	mu       sync.Mutex
 	sessions map[string]pin
 	swept    clock.Millis
 	// bad holds the releases that an order brought in and that were rolled back.
 	bad map[badRelease]bool
+	// met holds the orders whose old sessions were told.
+	met map[catalog.OrderNumber]bool
+}
+
+func newReleases(c *clock.Clock, limits *atomic.Pointer[Limits], r *relay.Relay) *releases {
+	return &releases{
+		clock: c, limits: limits, stopped: r.Stopped, hold: r.Hold, held: r.Held,
+		sessions: map[string]pin{}, bad: map[badRelease]bool{}, met: map[catalog.OrderNumber]bool{},
+	}
 }
 
 type badRelease struct {
@@ -72,6 +87,9 @@
 		p.outcome = registry.OutcomeRolledBack
 	}
 	r.note(service, p)
+	if p.phase == rollout.PhaseSettle {
+		r.holdAll(p)
+	}
 	return p
 }
 
@@ -88,6 +106,39 @@
 	}
 }
 
+// holdAll tells all instances of the sessions that ran on the old release
+// before the order and that the canary would take.
+func (r *releases) holdAll(p *progress) {
+	now := r.clock.Mono()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.met[p.order.Number] {
+		return
+	}
+	r.met[p.order.Number] = true
+	for session, last := range r.sessions {
+		if now < last.until {
+			r.holdOne(p, session, last.release)
+		}
+	}
+}
+
+// holdOne tells of one session if it matters.
+func (r *releases) holdOne(p *progress, session string, release catalog.Release) {
+	if release != p.order.Target && bucket(p.order, session) < rollout.FirstShare(r.limits.Load().Exposure) {
+		r.hold(holdOf(p.order, session))
+	}
+}
+
+func holdOf(order *catalog.Order, session string) relay.Hold {
+	return relay.Hold{Order: order.Number, Session: xxhash.Sum64String(session)}
+}
+
+// bucket places a session between 0 and 1, the same at every instance.
+func bucket(order *catalog.Order, session string) float64 {
+	return float64(xxhash.Sum64String(string(order.Target)+"\x00"+session)) / math.MaxUint64
+}
+
 // sound filters out the endpoints of releases that were rolled back.
 func (r *releases) sound(view *registry.State) func(*catalog.Endpoint) bool {
 	return func(e *catalog.Endpoint) bool {
@@ -104,9 +155,6 @@
 	return func(e *catalog.Endpoint) bool { return e.Release != target && sound(e) }
 }
 
-// shareBuckets is the resolution of a canary's share.
-const shareBuckets = 10000
-
 // pick returns the arm for a request and a filter for its endpoints.
 func (r *releases) pick(view *registry.State, service ticket.ServiceName, session string) (Arm, func(*catalog.Endpoint) bool, *progress) {
 	p := r.orderOf(view, service)
@@ -140,24 +188,26 @@
 			return ArmOld
 		}
 	}
-	share := rollout.CanaryShare(p.phase, r.limits.Load().Exposure)
-	bucket := xxhash.Sum64String(string(p.order.Target)+"\x00"+session) % shareBuckets
-	if float64(bucket) < share*shareBuckets {
-		return ArmNew
+	if bucket(p.order, session) >= rollout.Share(p.elapsed, p.order.Span, r.limits.Load().Exposure) {
+		return ArmOld
+	}
+	if rollout.FirstHalf(p.elapsed, p.order.Span) && r.held(holdOf(p.order, session)) {
+		return ArmOld
 	}
-	return ArmOld
+	return ArmNew
 }
 
-// remember pins a session to the release on which it ran.
-func (r *releases) remember(session string, release catalog.Release) {
-	if session == "" {
-		return
-	}
-	now := r.clock.Mono()
+// remember pins a session to the release on which it runs, until the session's
+// span after the time at which it is known or expected to end.
+func (r *releases) remember(session string, release catalog.Release, ends clock.Millis, p *progress) {
+	now, span := r.clock.Mono(), r.limits.Load().SessionSpan
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.sessions[session] = pin{release: release, until: now + r.limits.Load().SessionSpan}
-	if now-r.swept < r.limits.Load().SessionSpan {
+	if p != nil && rollout.FirstHalf(p.elapsed, p.order.Span) {
+		r.holdOne(p, session, release)
+	}
+	r.sessions[session] = pin{release: release, until: ends + span}
+	if now-r.swept < span {
 		return
 	}
 	r.swept = now
--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -37,6 +37,8 @@
 	loadsAt clock.Millis
 	// suspicions is how many of the listed suspicions the peer was told.
 	suspicions int
+	// holds is the same for the listed holds.
+	holds int
 	// retry is when the peer may be asked again after a failure.
 	retry   clock.Millis
 	failing bool
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -53,8 +53,10 @@
 	Loads      map[routing.EndpointID]int `json:"loads,omitempty"`
 	LoadsOf    Whose                      `json:"loads-of,omitempty"`
 	Suspicions []quarantine.Suspicion     `json:"suspicions,omitempty"`
-	Stops      []catalog.OrderNumber      `json:"stops,omitempty"`
-	Leaving    bool                       `json:"leaving,omitempty"`
+	// Holds are the sessions that must stay on the old release of an order.
+	Holds   []Hold                `json:"holds,omitempty"`
+	Stops   []catalog.OrderNumber `json:"stops,omitempty"`
+	Leaving bool                  `json:"leaving,omitempty"`
 }
 
 // Whose says whose requests are counted.
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -74,11 +74,14 @@
 	// suspicions lists those of the ledger in the order in which they came.
 	suspicions []quarantine.Suspicion
 	stops      map[catalog.OrderNumber]bool
-	turn       int
-	leaving    bool
-	clients    map[string]*connect.Client[Message, Message]
-	met        bool
-	urged      chan struct{}
+	// holds lists those of held in the order in which they came.
+	holds   []Hold
+	held    map[Hold]bool
+	turn    int
+	leaving bool
+	clients map[string]*connect.Client[Message, Message]
+	met     bool
+	urged   chan struct{}
 }
 
 // New returns a Relay of an instance that at first knows the addresses of some peers.
@@ -94,6 +97,7 @@
 		zones:   evidence.NewCounters(""),
 		ledger:  quarantine.NewLedger(),
 		stops:   map[catalog.OrderNumber]bool{},
+		held:    map[Hold]bool{},
 		clients: map[string]*connect.Client[Message, Message]{},
 		urged:   make(chan struct{}, 1),
 	}
@@ -124,6 +128,8 @@
 		zone = p.member.Zone
 		m.Suspicions = r.suspicions[p.suspicions:]
 		p.suspicions = len(r.suspicions)
+		m.Holds = r.holds[p.holds:]
+		p.holds = len(r.holds)
 		if p.heads != nil {
 			m.Batches = r.parts.Registry.Since(p.heads)
 		}
@@ -182,6 +188,9 @@
 			r.logger.Info("suspicion-heard", "digest", s.Digest, "crash", s.Crash, "peer", m.From.Name)
 		}
 	}
+	for _, h := range m.Holds {
+		r.addHold(h)
+	}
 	for _, number := range m.Stops {
 		r.stop(number, "peer "+m.From.Name)
 	}
@@ -230,7 +239,7 @@
 		return
 	}
 	p.retry = now + retryPause
-	p.suspicions = 0 // It may have missed the last ones.
+	p.suspicions, p.holds = 0, 0 // It may have missed the last ones.
 	if !p.failing {
 		p.failing = true
 		r.logger.Info("peer-lost", "peer", name, "address", address, "heard-ms", int64(now-p.heard), "error", err)
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -138,6 +138,35 @@
 	return count
 }
 
+// TestHolds has instances of all zones tell of sessions at the same time: all
+// know of all before a canary begins.
+func TestHolds(t *testing.T) {
+	inBubble(t, func(ctx context.Context) {
+		f := newFleet(ctx, 4, 5)
+		time.Sleep(10 * time.Second)
+		for i, r := range f.relays {
+			r.Hold(Hold{Order: 3, Session: uint64(i)})
+		}
+		time.Sleep(1300 * time.Millisecond)
+		for i, r := range f.relays {
+			for session := range f.relays {
+				if !r.Held(Hold{Order: 3, Session: uint64(session)}) {
+					t.Errorf("instance %d does not know what instance %d told", i, session)
+				}
+			}
+		}
+		for _, r := range f.relays {
+			r.Forget(3)
+		}
+		time.Sleep(2 * time.Second)
+		for _, r := range f.relays {
+			if len(r.holds)+len(r.held) > 0 {
+				t.Error("holds of an order that is over are kept")
+			}
+		}
+	})
+}
+
 // inBubble runs a test in virtual time and ends the fleet with it.
 func inBubble(t *testing.T, run func(ctx context.Context)) {
 	synctest.Test(t, func(_ *testing.T) {
--- a/entry/relay/tallies.go
+++ b/entry/relay/tallies.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 
+	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
 	"foxtailbridge/policy/routing"
@@ -117,10 +118,12 @@
 	return len(found)
 }
 
-// Retain forgets evidence that keep rejects.
-func (r *Relay) Retain(keep func(evidence.Series) bool) {
+// Forget drops what is kept of an order that is over.
+func (r *Relay) Forget(number catalog.OrderNumber) {
+	r.forgetHolds(number)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	keep := func(s evidence.Series) bool { return s.Number != ticket.Number(number) }
 	r.own.Retain(keep)
 	r.zones.Retain(keep)
 }
--- a/policy/rollout/canary.go
+++ b/policy/rollout/canary.go
@@ -12,8 +12,13 @@
 
 // Phases of an order.
 const (
+	// PhaseSettle sends nothing to the new release, until every instance knows
+	// which sessions began on the old one.
+	PhaseSettle Phase = "settle"
 	// PhaseCanary sends a small share of the sessions to the new release.
 	PhaseCanary Phase = "canary"
+	// PhaseRamp sends more and more of them, to as few endpoints as can bear them.
+	PhaseRamp Phase = "ramp"
 	// PhaseFull sends all of them and watches.
 	PhaseFull Phase = "full"
 	// PhaseDone allows the order to be completed.
@@ -21,32 +26,56 @@
 )
 
 const (
+	// settleSpan is three rounds of the exchange between instances, from a member
+	// through the readers of two zones to another member, and some.
+	settleSpan = 1500 * clock.Millis(1)
 	// canaryPart is the share of the exposure bound that the canary uses; the
-	// rest is for the full phase of a release that turns bad under load.
-	canaryPart = 0.5
-	// fullFrom is the part of an order's time after which all traffic moves.
-	fullFrom = 0.70
+	// rest is for a release that turns bad under load.
+	canaryPart = 0.35
+	// rampFrom is the part of an order's time after which the share grows.
+	rampFrom = 0.60
+	// fullFrom is the part after which all traffic has moved.
+	fullFrom = 0.76
 	// doneFrom is the part after which the order is completed.
-	doneFrom = 0.82
+	doneFrom = 0.85
 	// minBad is how many bad answers it takes to stop a release.
 	minBad = 4
 )
 
 // PhaseAt returns the phase of an order at a time since its start.
 func PhaseAt(elapsed, span clock.Millis) Phase {
+	part := float64(elapsed) / float64(max(1, span))
 	switch {
-	case float64(elapsed) < fullFrom*float64(span):
-		return PhaseCanary
-	case float64(elapsed) < doneFrom*float64(span):
+	case part >= doneFrom:
+		return PhaseDone
+	case part >= fullFrom:
 		return PhaseFull
+	case part >= rampFrom:
+		return PhaseRamp
+	case elapsed < settleSpan:
+		return PhaseSettle
 	}
-	return PhaseDone
+	return PhaseCanary
 }
 
-// CanaryShare returns the share of sessions for the new release under an exposure bound.
-func CanaryShare(phase Phase, bound float64) float64 {
-	if phase == PhaseCanary {
-		return canaryPart * bound
+// FirstShare returns the share of sessions for the new release when its canary begins.
+func FirstShare(bound float64) float64 {
+	return canaryPart * bound
+}
+
+// Share returns the share of sessions for the new release under an exposure
+// bound. It never falls, so that no session goes back.
+func Share(elapsed, span clock.Millis, bound float64) float64 {
+	switch PhaseAt(elapsed, span) {
+	case PhaseSettle:
+		return 0
+	case PhaseCanary:
+		return FirstShare(bound)
+	case PhaseRamp:
+		part := (float64(elapsed)/float64(span) - rampFrom) / (fullFrom - rampFrom)
+		// It grows slowly at first: a release that fails under load shows that on
+		// the first endpoints that are filled.
+		return FirstShare(bound) + (1-FirstShare(bound))*part*part
 	}
 	return 1
 }
--- a/policy/rollout/canary_test.go
+++ b/policy/rollout/canary_test.go
@@ -17,13 +17,24 @@
 		const detection = 1200 // ms at full share until the release is stopped
 		for at := clock.Millis(0); at < span; at += 10 {
 			phase := PhaseAt(at, span)
-			if phase != PhaseCanary && float64(at) > fullFrom*float64(span)+detection {
+			if (phase == PhaseFull || phase == PhaseDone) && float64(at) > fullFrom*float64(span)+detection {
 				break
 			}
-			exposed += CanaryShare(phase, bound) * 10 / float64(span)
+			exposed += Share(at, span, bound) * 10 / float64(span)
 		}
 		So(exposed, ShouldBeLessThan, bound)
 	})
+	Convey("The share never falls, and is nothing until all know the old sessions", t, func() {
+		last := 0.0
+		for at := clock.Millis(0); at < span; at += 10 {
+			share := Share(at, span, bound)
+			So(share, ShouldBeGreaterThanOrEqualTo, last)
+			last = share
+		}
+		So(Share(settleSpan-1, span, bound), ShouldEqual, 0)
+		So(Share(settleSpan, span, bound), ShouldEqual, FirstShare(bound))
+		So(last, ShouldEqual, 1)
+	})
 	Convey("A good release is completed with time to spare for two writers that fail", t, func() {
 		So(PhaseAt(span*9/10, span), ShouldEqual, PhaseDone)
 	})
