Load a few endpoints of a new release before all traffic moves; compare its pace with a quartile

Cause: a release that fails only under load looked good: the canary is spread over all new endpoints, none of which had half of its slots running before the order was completed (traced: no failure below 22 running of 48, a third to a half of the runs fail above). A slow release hid while a lost zone made the old one slow: half of its few streams counted as slow against a quarter of the old one's. Ruled out: more share in the canary (exposure bound); packing long prompts (their reading saturates the endpoint before its slots run); a ramp with the square of time (36 in flight, 24 running of 64). Change: half of the sessions from 0.60 of the order's time, short prompts packed up to 0.8 of the slots; failures of packed answers judged by themselves; pace judged against the old release's upper quartile in the canary, against four times the usual while traffic moves; bad answers must come from a third of the busiest endpoints instead of all reached. The inputs are logged with the decision.

--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -12,6 +13,7 @@
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
 	"foxtailbridge/policy/rollout"
+	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/ticket"
 )
 
@@ -40,6 +42,8 @@
 	Commit func(ctx context.Context, status registry.Status) (registry.Status, error)
 	// Stood is called with a status that stands.
 	Stood func(registry.Status)
+	// Occupied returns the requests of all instances at the endpoints of a release.
+	Occupied func(ticket.ServiceName, catalog.Release) map[routing.EndpointID]int
 
 	registry *registry.Registry
 	relay    *relay.Relay
@@ -59,16 +63,26 @@
 	retry clock.Millis
 }
 
-// sample holds the tallies of all routes at one time.
+// sample holds the evidence on all routes at one time.
 type sample struct {
-	at       clock.Millis
-	from, to map[catalog.RouteName]evidence.Tally
+	at     clock.Millis
+	routes map[catalog.RouteName]tallies
+	// occupied counts the requests at the new release's endpoints.
+	occupied map[routing.EndpointID]int
+}
+
+// tallies are the answers of both releases on one route.
+type tallies struct {
+	from, to evidence.Tally
+	// bad counts the new release's bad answers at each endpoint.
+	bad map[routing.EndpointID]int64
 }
 
 // New returns a Duty.
 func New(r *registry.Registry, relay *relay.Relay, c *clock.Clock, logger hclog.Logger) *Duty {
 	return &Duty{
 		Stood:    func(registry.Status) {},
+		Occupied: func(ticket.ServiceName, catalog.Release) map[routing.EndpointID]int { return nil },
 		registry: r, relay: relay, clock: c, logger: logger.Named("duty"),
 		watches: map[catalog.OrderNumber]*watch{},
 	}
@@ -142,27 +156,39 @@
 		w.history = w.history[1:]
 	}
 	answers := int64(0)
-	for route, to := range s.to {
-		answers = max(answers, to.Rated())
-		from, spans := d.spans(w, s, route, now)
-		if rollout.JudgeSpans(from, spans, assumedRate) == rollout.VerdictStop {
-			spread := d.relay.BadEndpoints(forward.Series(order, route, evidence.ArmTo))
-			endpoints := release(view, order)
-			if !rollout.Spread(spread, endpoints, to.Rated()) {
-				d.logger.Info("endpoints-bad", "service", order.Service, "order", order.Number, "route", route, "bad-endpoints", spread,
-					"endpoints", endpoints, "good", to.Good, "bad", to.Bad)
-				continue
-			}
-			d.logger.Warn("release-bad", "service", order.Service, "target", order.Target, "order", order.Number, "route", route,
-				"good", to.Good, "bad", to.Bad, "old-good", s.from[route].Good, "old-bad", s.from[route].Bad)
-			d.relay.Stop(order.Number, "evidence")
-			w.outcome, w.decided = registry.OutcomeRolledBack, now
-			return
+	for route, t := range s.routes {
+		answers = max(answers, t.to.Rated())
+		spans := d.spans(view, order, w, route, now)
+		prior := assumedRate
+		switch route {
+		case forward.PaceRoute:
+			prior = forward.PaceRate
+		case forward.MovedRoute:
+			prior = forward.MovedRate
 		}
+		verdict := rollout.JudgeSpans(spans, prior)
+		if verdict == rollout.VerdictContinue {
+			continue
+		}
+		fields := []any{"service", order.Service, "target", order.Target, "order", order.Number, "route", route,
+			"good", t.to.Good, "bad", t.to.Bad, "old-good", t.from.Good, "old-bad", t.from.Bad, "bad-endpoints", len(t.bad), "busy", busy(w.history)}
+		if verdict == rollout.VerdictEndpoints {
+			d.logger.Info("endpoints-bad", fields...)
+			continue
+		}
+		d.logger.Warn("release-bad", fields...)
+		d.relay.Stop(order.Number, "evidence")
+		w.outcome, w.decided = registry.OutcomeRolledBack, now
+		return
 	}
 	elapsed := now - order.Seen
 	if rollout.PhaseAt(elapsed, order.Span) == rollout.PhaseDone && answers >= leastAnswers {
-		d.logger.Info("release-good", "service", order.Service, "target", order.Target, "order", order.Number, "answers", answers, "elapsed-ms", int64(elapsed))
+		all, pace, moved, load := s.routes[allRoutes], s.routes[forward.PaceRoute], s.routes[forward.MovedRoute], s.routes[forward.LoadRoute]
+		d.logger.Info("release-good", "service", order.Service, "target", order.Target, "order", order.Number, "answers", answers, "elapsed-ms", int64(elapsed),
+			"good", all.to.Good, "bad", all.to.Bad, "old-good", all.from.Good, "old-bad", all.from.Bad,
+			"paced", pace.to.Rated(), "slower", pace.to.Bad, "old-paced", pace.from.Rated(), "old-slower", pace.from.Bad,
+			"moved", moved.to.Rated(), "moved-slow", moved.to.Bad,
+			"loaded-good", load.to.Good, "loaded-bad", load.to.Bad)
 		w.outcome, w.decided = registry.OutcomeCompleted, now
 	}
 }
@@ -171,10 +197,6 @@
 // them shows there first.
 const allRoutes catalog.RouteName = ""
 
-func plus(a, b evidence.Tally) evidence.Tally {
-	return evidence.Tally{Exposed: a.Exposed + b.Exposed, Good: a.Good + b.Good, Bad: a.Bad + b.Bad}
-}
-
 // release counts the endpoints of an order's new release.
 func release(view *registry.State, order *catalog.Order) int {
 	count := 0
@@ -187,29 +209,67 @@
 }
 
 func (d *Duty) sample(view *registry.State, order *catalog.Order, now clock.Millis) sample {
-	s := sample{at: now, from: map[catalog.RouteName]evidence.Tally{}, to: map[catalog.RouteName]evidence.Tally{}}
+	s := sample{at: now, routes: map[catalog.RouteName]tallies{}, occupied: d.Occupied(order.Service, order.Target)}
+	read := func(route catalog.RouteName) tallies {
+		to, from := forward.Series(order, route, evidence.ArmTo), forward.Series(order, route, evidence.ArmFrom)
+		return tallies{from: d.relay.Sum(from), to: d.relay.Sum(to), bad: d.relay.BadEndpoints(to)}
+	}
+	all := tallies{bad: map[routing.EndpointID]int64{}}
 	for _, route := range view.Config.RoutesOf(order.Service) {
-		s.to[route] = d.relay.Sum(forward.Series(order, route, evidence.ArmTo))
-		s.from[route] = d.relay.Sum(forward.Series(order, route, evidence.ArmFrom))
-		s.to[allRoutes] = plus(s.to[allRoutes], s.to[route])
-		s.from[allRoutes] = plus(s.from[allRoutes], s.from[route])
+		t := read(route)
+		s.routes[route] = t
+		all.from, all.to = all.from.Plus(t.from), all.to.Plus(t.to)
+		for endpoint, bad := range t.bad {
+			all.bad[endpoint] += bad
+		}
+	}
+	s.routes[allRoutes] = all
+	for _, route := range []catalog.RouteName{forward.LoadRoute, forward.PaceRoute, forward.MovedRoute} {
+		s.routes[route] = read(route)
 	}
 	return s
 }
 
-// spans returns the evidence of the whole order and of its recent spans.
-func (d *Duty) spans(w *watch, s sample, route catalog.RouteName, now clock.Millis) (from, to []evidence.Tally) {
-	from, to = []evidence.Tally{s.from[route]}, []evidence.Tally{s.to[route]}
+// spans returns the evidence of the whole order and of its recent spans. The
+// last sample of the watch is the newest.
+func (d *Duty) spans(view *registry.State, order *catalog.Order, w *watch, route catalog.RouteName, now clock.Millis) []rollout.Span {
+	t := w.history[len(w.history)-1].routes[route]
+	list := []rollout.Span{{From: t.from, To: t.to, Bad: len(t.bad), Reached: release(view, order)}}
 	for _, span := range []clock.Millis{shortSpan, longSpan} {
-		for _, old := range w.history {
-			if now-old.at <= span {
-				to = append(to, minus(s.to[route], old.to[route]))
-				from = append(from, worse(s.from[route], minus(s.from[route], old.from[route])))
-				break
+		first := slices.IndexFunc(w.history, func(s sample) bool { return now-s.at <= span })
+		old := w.history[first].routes[route]
+		s := rollout.Span{To: t.to.Minus(old.to), From: worse(t.from, t.from.Minus(old.from))}
+		for endpoint, bad := range t.bad {
+			if bad > old.bad[endpoint] {
+				s.Bad++
 			}
 		}
+		s.Reached = max(s.Bad, busy(w.history[first:]))
+		list = append(list, s)
 	}
-	return from, to
+	return list
+}
+
+// busyPart is the part of the most requests at an endpoint from which another
+// counts as busy too: a release that fails under load does so there.
+const busyPart = 0.5
+
+// busy counts the endpoints that bore the most requests over some samples.
+func busy(samples []sample) int {
+	top, most := map[routing.EndpointID]int{}, 0
+	for _, s := range samples {
+		for endpoint, n := range s.occupied {
+			top[endpoint] = max(top[endpoint], n)
+			most = max(most, n)
+		}
+	}
+	count := 0
+	for _, n := range top {
+		if float64(n) >= busyPart*float64(most) {
+			count++
+		}
+	}
+	return count
 }
 
 // worse returns the old release's recent record if it is worse than its whole
@@ -221,10 +281,6 @@
 	return whole
 }
 
-func minus(a, b evidence.Tally) evidence.Tally {
-	return evidence.Tally{Exposed: a.Exposed - b.Exposed, Good: a.Good - b.Good, Bad: a.Bad - b.Bad}
-}
-
 func (d *Duty) commit(ctx context.Context, status registry.Status, w *watch) {
 	ctx, cancel := context.WithTimeout(ctx, commitWait.Duration())
 	defer cancel()
--- a/entry/duty/duty_test.go
+++ b/entry/duty/duty_test.go
@@ -33,6 +33,8 @@
 	writes   int
 	relays   []*relay.Relay
 	order    *catalog.Order
+	// occupied counts the requests at the new release's endpoints.
+	occupied map[routing.EndpointID]int
 }
 
 type wire struct {
@@ -111,19 +113,23 @@
 		return f.stands, nil
 	}
 	d.Stood = func(registry.Status) { rel.Urge() }
+	d.Occupied = func(ticket.ServiceName, catalog.Release) map[routing.EndpointID]int { return f.occupied }
 	go rel.Run(ctx)
 	go d.Run(ctx)
 }
 
 // answer counts answers of the new release at different instances and endpoints.
-func (f *fleet) answer(count int, good bool) {
-	series := forward.Series(f.order, "r", evidence.ArmTo)
+func (f *fleet) answer(count int, good bool) { f.answerOn("r", count, 6, good) }
+
+// answerOn does so on a route, at the first so many endpoints.
+func (f *fleet) answerOn(route catalog.RouteName, count, endpoints int, good bool) {
+	series := forward.Series(f.order, route, evidence.ArmTo)
 	for i := range count {
 		r := f.relays[i%len(f.relays)]
 		r.Rate(series, good)
 		if !good {
 			bad := series
-			bad.Endpoint = string(rune('0' + i%6))
+			bad.Endpoint = string(rune('0' + i%endpoints))
 			r.Rate(bad, false)
 		}
 	}
@@ -166,6 +172,29 @@
 				f.answer(6, false)
 			}
 		}, registry.OutcomeRolledBack, 4 * time.Second},
+		{"one that fails under load is rolled back by the endpoint that was filled first", func(f *fleet) {
+			f.answer(60, true)
+			f.occupied = map[routing.EndpointID]int{"0": 40, "1": 5, "2": 4, "3": 2}
+			time.Sleep(10 * time.Second)
+			f.answerOn(forward.LoadRoute, 12, 1, true)
+			f.answerOn(forward.LoadRoute, 8, 1, false)
+			f.answerOn("r", 12, 1, true)
+			f.answerOn("r", 8, 1, false)
+		}, registry.OutcomeRolledBack, 2 * time.Second},
+		{"one sick endpoint of several that are filled is no bad release", func(f *fleet) {
+			f.answer(60, true)
+			f.occupied = map[routing.EndpointID]int{"0": 40, "1": 35, "2": 34, "3": 32}
+			time.Sleep(10 * time.Second)
+			f.answerOn(forward.LoadRoute, 30, 1, true)
+			f.answerOn(forward.LoadRoute, 6, 1, false)
+		}, registry.OutcomeCompleted, 9 * time.Second},
+		{"one whose few streams are all slow is rolled back", func(f *fleet) {
+			f.answer(8, true)
+			for i := range f.relays {
+				f.relays[i].Rate(forward.Series(f.order, forward.PaceRoute, evidence.ArmFrom), i > 0)
+			}
+			f.answerOn(forward.PaceRoute, 9, 6, false)
+		}, registry.OutcomeRolledBack, 4 * time.Second},
 		{"without any answer nothing is decided", func(*fleet) {}, registry.OutcomeRunning, 19 * time.Second},
 	}
 	for _, row := range rows {
--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -67,6 +67,7 @@
 	began, events := t.clock.Mono(), 0
 	last := began
 	defer func() {
+		t.comparePace(r, t.clock.Mono()-began, events)
 		if t.arm != ArmNew {
 			t.endpoints.paced(r.key.model, t.clock.Mono()-began, events)
 		}
@@ -84,10 +85,16 @@
 		t.pause = max(t.pause, now-last)
 		last = now
 		r.eventAt.Store(int64(now))
-		if !r.slow && t.endpoints.slowPace(r.key.model, now-began, events, t.paceFactor()) {
+		if events == compareEvents {
+			t.comparePace(r, now-began, events)
+		}
+		if !r.slow && t.slowStream(r, now-began, events) {
 			// A long stream is counted now: its end is too late to stop a release.
 			r.slow = true
+			t.logger.Info("stream-slow", "request", t.request.ID, "endpoint", r.state.Endpoint.ID, "arm", t.arm, "model", r.key.model,
+				"pace-ms", int64(now-began)/int64(events-1), "usual-ms", int64(t.endpoints.pause(r.key.model)), "events", events)
 			r.rate(false)
+			t.comparePace(r, now-began, max(events, paceEvents))
 		}
 		t.endpoints.touched(r.state)
 		if err := t.reply.Write(event.Raw); err != nil {
--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -44,8 +44,8 @@
 	known   map[endpointKey]*placement.State
 	// delays holds the usual time to the first byte of each kind of work.
 	delays map[delayKey]*placement.Average
-	// pauses holds the usual time between events of each model.
-	pauses map[ticket.ModelName]*placement.Average
+	// paces holds the usual time between events of each model.
+	paces map[ticket.ModelName]*pace
 	// sizes holds the mean size of each route's requests.
 	sizes map[catalog.RouteName]*placement.Average
 	// reach is what is known of the way to each zone.
@@ -79,7 +79,7 @@
 		pools:     map[ticket.ServiceName]*pool{},
 		known:     map[endpointKey]*placement.State{},
 		delays:    map[delayKey]*placement.Average{},
-		pauses:    map[ticket.ModelName]*placement.Average{},
+		paces:     map[ticket.ModelName]*pace{},
 		sizes:     map[catalog.RouteName]*placement.Average{},
 		reach:     map[ticket.ZoneName]*reach{},
 	}
@@ -329,6 +329,24 @@
 	return counts
 }
 
+// Occupied returns the requests of all instances at the endpoints of a release.
+func (f *Forwarder) Occupied(service ticket.ServiceName, release catalog.Release) map[routing.EndpointID]int {
+	return f.endpoints.occupied(service, release)
+}
+
+func (e *endpoints) occupied(service ticket.ServiceName, release catalog.Release) map[routing.EndpointID]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Mono()
+	counts := map[routing.EndpointID]int{}
+	for _, s := range e.pool(service).states {
+		if n := s.Occupied(now); s.Endpoint.Release == release && n > 0 {
+			counts[s.Endpoint.ID] = n
+		}
+	}
+	return counts
+}
+
 // others takes the requests of all other instances at endpoints.
 func (e *endpoints) others(counts map[routing.EndpointID]int) {
 	e.mu.Lock()
@@ -346,9 +364,8 @@
 }
 
 const (
-	// sizeRuns and pauseRuns are how many runs those means look back on.
-	sizeRuns  = 500
-	pauseRuns = 40
+	// sizeRuns is how many runs that mean looks back on.
+	sizeRuns = 500
 )
 
 // note counts a request of a service.
@@ -374,55 +391,6 @@
 	return 0
 }
 
-// paced takes the time that a number of events took.
-func (e *endpoints) paced(model ticket.ModelName, span clock.Millis, events int) {
-	if events < 2 {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	a := e.pauses[model]
-	if a == nil {
-		a = &placement.Average{}
-		e.pauses[model] = a
-	}
-	smooth(a, float64(span)/float64(events-1), pauseRuns)
-}
-
-const (
-	// paceFactor and paceFloor say how much longer than usual the time between
-	// events is, in milliseconds, that counts as slow; paceEvents is how many
-	// events it takes to say so.
-	paceFactor = 2.0
-	paceFloor  = 6.0
-	paceEvents = 3
-	// movedFactor takes paceFactor's place once all traffic has moved: the new
-	// endpoints then take the whole load without kept prompts, and nothing runs
-	// on the old release to compare with.
-	movedFactor = 4.0
-)
-
-// slowPace reports whether a stream's events come much slower than usual.
-func (e *endpoints) slowPace(model ticket.ModelName, span clock.Millis, events int, factor float64) bool {
-	if events < paceEvents {
-		return false
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	a := e.pauses[model]
-	return a != nil && a.Count >= usualRuns && float64(span)/float64(events-1) > factor*a.Mean+paceFloor
-}
-
-// pause returns the usual time between events of a model in milliseconds.
-func (e *endpoints) pause(model ticket.ModelName) float64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if a := e.pauses[model]; a != nil {
-		return a.Mean
-	}
-	return 0
-}
-
 // retries returns a service's budget with this instance's present part of the
 // fleet's slack; the caller holds the lock.
 func (e *endpoints) retries(service ticket.ServiceName) *share.Retries {
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -472,7 +472,7 @@
 		b.registry.Merge(registry.Batch{Feed: registry.FeedOrders, Records: []registry.Record{{Key: "order", Value: []byte("x"), Offset: 1}}, From: 1, Head: 2})
 		slow = true
 		// In the full phase every session gets the new release.
-		time.Sleep(15 * time.Second)
+		time.Sleep(16 * time.Second)
 		go b.serve(t.Context(), "/note/x", nil)
 		time.Sleep(5 * time.Second)
 		series := Series(order, "note", evidence.ArmTo)
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -3,13 +3,8 @@
 import (
 	"sync/atomic"
 
-	"foxtailbridge/entry/registry"
-	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
-	"foxtailbridge/policy/evidence"
 	"foxtailbridge/policy/placement"
-	"foxtailbridge/policy/rollout"
-	"foxtailbridge/policy/ticket"
 )
 
 // run is one attempt that reached an endpoint.
@@ -24,6 +19,10 @@
 	ended   bool
 	rated   bool
 	slow    bool
+	// loaded is true if the endpoint was among those filled first and is loaded.
+	loaded bool
+	// compared is true once the stream's pace was counted.
+	compared bool
 	// patience is the wait for the answer's head.
 	patience clock.Millis
 	// eventAt is when the last event came; the sender's timer reads it too.
@@ -36,51 +35,13 @@
 	now := t.clock.Mono()
 	t.endpoints.begun(r.state, t.request.Parts, r.key.model, &r.reading)
 	fresh := now-r.state.Since < settleSpan
-	r.slow = t.endpoints.delay(r.state, r.key, now-r.sentAt, t.arm != ArmNew && !fresh) && !fresh
+	slow := t.endpoints.delay(r.state, r.key, now-r.sentAt, t.arm != ArmNew && !fresh)
+	r.slow = slow && !fresh && !t.moving()
 }
 
 // settleSpan is how long a new endpoint may be slow.
 const settleSpan = 4 * clock.Second
 
-// rate counts the run for its endpoint and, during an order, for its release.
-func (r *run) rate(failed bool) {
-	if r.rated {
-		return
-	}
-	r.rated = true
-	t := r.task
-	t.endpoints.rate(r.state, t.service.Name, failed)
-	if t.progress == nil || t.progress.outcome != registry.OutcomeRunning || r.answer == nil {
-		return // A channel that broke says more of the endpoint than of its release.
-	}
-	arm := evidence.ArmFrom
-	if r.state.Endpoint.Release == t.progress.order.Target {
-		arm = evidence.ArmTo
-	}
-	series := Series(t.progress.order, t.route.Name, arm)
-	good := !failed && !r.slow
-	t.parts.Relay.Rate(series, good)
-	if !good && arm == evidence.ArmTo {
-		series.Endpoint = string(r.state.Endpoint.ID)
-		t.parts.Relay.Rate(series, false)
-	}
-}
-
-// paceFactor is how many times its usual pace a stream may take.
-func (t *task) paceFactor() float64 {
-	if t.progress != nil && t.progress.phase != rollout.PhaseCanary {
-		return movedFactor
-	}
-	return paceFactor
-}
-
-// Series names the evidence on one arm of an order for one route.
-func Series(order *catalog.Order, route catalog.RouteName, arm evidence.Arm) evidence.Series {
-	s := evidence.RolloutSeries(ticket.RolloutName(order.Service), ticket.Number(order.Number), arm)
-	s.Class = ticket.Class(route)
-	return s
-}
-
 // end takes the run off its endpoint.
 func (r *run) end() {
 	if r.ended {
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -11,6 +11,7 @@
 	"foxtailbridge/policy/fault"
 	"foxtailbridge/policy/placement"
 	"foxtailbridge/policy/quarantine"
+	"foxtailbridge/policy/rollout"
 	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/ticket"
 )
@@ -87,7 +88,7 @@
 		if choice.State == nil {
 			return t.unplaced(choice)
 		}
-		end, answer := t.attempt(ctx, choice.State)
+		end, answer := t.attempt(ctx, choice)
 		if result, done := t.follow(ctx, end, answer); done {
 			return result
 		}
@@ -110,7 +111,13 @@
 		patience = enginePatience
 	}
 	patience += urgentPatience * float64(max(0, lowestRank-t.rank))
+	pack := ""
+	if t.release == "" && t.arm == ArmNew && t.progress.phase == rollout.PhaseLoad {
+		// A release that fails under load shows that on the first endpoints filled.
+		pack = string(t.progress.order.Target)
+	}
 	return &placement.Query{
+		Pack:     pack,
 		Zone:     t.limits.Load().Zone,
 		Parts:    t.request.Parts,
 		Model:    t.model,
@@ -151,7 +158,7 @@
 	}
 	if t.release == "" && t.arm == ArmNew {
 		t.arm = ArmOld
-		q.Accept = t.releases.old(t.view, t.progress)
+		q.Accept, q.Pack = t.releases.old(t.view, t.progress), ""
 		choice = t.endpoints.choose(t.view, t.service, q)
 	}
 	if choice.State == nil && !q.Risky {
@@ -203,8 +210,9 @@
 }
 
 // attempt sends the request to one endpoint and reads the answer's head.
-func (t *task) attempt(ctx context.Context, s *placement.State) (attempt.End, *run) {
-	r := &run{task: t, state: s, reading: t.effort() * float64(placement.Tokens(t.request.Parts)), sentAt: t.clock.Mono(), key: delayKey{t.route.Name, t.model}}
+func (t *task) attempt(ctx context.Context, choice placement.Choice) (attempt.End, *run) {
+	s := choice.State
+	r := &run{task: t, state: s, loaded: choice.Loaded, reading: t.effort() * float64(placement.Tokens(t.request.Parts)), sentAt: t.clock.Mono(), key: delayKey{t.route.Name, t.model}}
 	t.last = s
 	t.sends++
 	t.tried = append(t.tried, s)
--- a/entry/relay/tallies.go
+++ b/entry/relay/tallies.go
@@ -95,27 +95,20 @@
 	return r.zones.Sum(series)
 }
 
-// BadEndpoints returns how many endpoints gave bad answers of a series; one
-// without a class stands for all classes.
-func (r *Relay) BadEndpoints(series evidence.Series) int {
+// BadEndpoints returns how many bad answers of a series each endpoint gave.
+func (r *Relay) BadEndpoints(series evidence.Series) map[routing.EndpointID]int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.foldZone(r.members.self.Zone)
-	found := map[string]bool{}
+	bad := map[routing.EndpointID]int64{}
 	r.zones.Each(func(s evidence.Series, tally evidence.Tally) {
-		if s.Endpoint == "" || tally.Bad == 0 {
-			return
-		}
-		endpoint := s.Endpoint
+		endpoint := routing.EndpointID(s.Endpoint)
 		s.Endpoint = ""
-		if series.Class == "" {
-			s.Class = ""
-		}
-		if s == series {
-			found[endpoint] = true
+		if endpoint != "" && tally.Bad > 0 && s == series {
+			bad[endpoint] += tally.Bad
 		}
 	})
-	return len(found)
+	return bad
 }
 
 // Forget drops what is kept of an order that is over.
--- a/policy/evidence/evidence.go
+++ b/policy/evidence/evidence.go
@@ -88,11 +88,13 @@
 	}
 }
 
-func (t Tally) plus(other Tally) Tally {
+// Plus returns the sum of two tallies.
+func (t Tally) Plus(other Tally) Tally {
 	return Tally{Exposed: t.Exposed + other.Exposed, Good: t.Good + other.Good, Bad: t.Bad + other.Bad}
 }
 
-func (t Tally) minus(other Tally) Tally {
+// Minus returns what a tally has above an earlier one.
+func (t Tally) Minus(other Tally) Tally {
 	return Tally{Exposed: t.Exposed - other.Exposed, Good: t.Good - other.Good, Bad: t.Bad - other.Bad}
 }
 
@@ -147,14 +149,14 @@
 
 func (c *Counters) add(series Series, more Tally) {
 	id := cell{c.self, series}
-	c.set(id, c.cells[id].tally.plus(more))
+	c.set(id, c.cells[id].tally.Plus(more))
 }
 
 func (c *Counters) set(id cell, tally Tally) {
 	c.stamp++
 	old := c.cells[id].tally
 	c.cells[id] = counted{tally: tally, stamp: c.stamp}
-	c.sums[id.series] = c.sums[id.series].plus(tally.minus(old))
+	c.sums[id.series] = c.sums[id.series].Plus(tally.Minus(old))
 }
 
 // Merge folds rows from another instance and reports whether anything was new.
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -33,6 +33,9 @@
 	ColdRate float64
 	// Patience is the fill up to which the request may queue at an endpoint.
 	Patience float64
+	// Pack is the name by which all machines agree on the endpoints to fill first,
+	// or "" to spread requests.
+	Pack string
 	// Risky allows an endpoint that was out of reach and has not answered since.
 	Risky bool
 }
@@ -43,6 +46,8 @@
 	Reason routing.Reason
 	// Cost is the estimated delay of the choice in milliseconds.
 	Cost float64
+	// Loaded is true if the endpoint was packed and bears a high load by now.
+	Loaded bool
 	// Considered counts the endpoints that were accepted.
 	Considered int
 	// Free is the number of free slots at accepted endpoints.
@@ -81,6 +86,14 @@
 	coldBurst = 1.0
 	// jitter is the random part of a cost, which parts machines that know the same.
 	jitter = 12.0
+	// packFill is the fill up to which requests are packed onto an endpoint: well
+	// above the half of its slots from which load shows, and short of queueing.
+	packFill = 0.8
+	// loadedFill is the fill from which an endpoint bears a high load.
+	loadedFill = 0.5
+	// packTokens is the most prompt tokens, weighed by the model, of a request
+	// that is packed: long prompts would fill the endpoint's reading, not its slots.
+	packTokens = 2000.0
 	// riskCost is the delay that an endpoint out of reach a moment ago counts for.
 	riskCost = 400.0
 )
@@ -89,6 +102,8 @@
 func Choose(states []*State, q *Query, random *rand.Rand) Choice {
 	best := Choice{Reason: routing.ReasonNoEndpoint}
 	home := q.home(states)
+	var packed *State
+	var packedWeight uint64
 	for _, s := range states {
 		if !q.Accept(s.Endpoint) {
 			continue
@@ -106,14 +121,29 @@
 			}
 			continue
 		}
+		if w := q.packWeight(s); w > packedWeight {
+			packed, packedWeight = s, w
+		}
 		cost := q.cost(s, s == home) + jitter*random.Float64()
 		if best.State == nil || cost < best.Cost {
 			best.State, best.Cost, best.Reason = s, cost, reasonFor(s, home, len(q.Parts))
 		}
 	}
+	if packed != nil {
+		best.State, best.Reason = packed, ReasonPacked
+		best.Loaded = packed.Fill(q.Now) >= loadedFill
+	}
 	return best
 }
 
+// packWeight ranks the endpoints that requests are packed onto; 0 is none of them.
+func (q *Query) packWeight(s *State) uint64 {
+	if q.Pack == "" || q.Effort*float64(Tokens(q.Parts)) > packTokens || s.Cold(q.Now) || s.Fill(q.Now) >= packFill {
+		return 0
+	}
+	return routing.Weight(xxhash.Sum64String(q.Pack), string(s.Endpoint.ID))
+}
+
 func reasonFor(s, home *State, parts int) routing.Reason {
 	if s == home && parts > 1 {
 		return routing.ReasonPrefix
@@ -121,8 +151,12 @@
 	return ReasonLeastDelay
 }
 
-// ReasonLeastDelay means that the endpoint adds the least estimated delay.
-const ReasonLeastDelay routing.Reason = "least-delay"
+const (
+	// ReasonLeastDelay means that the endpoint adds the least estimated delay.
+	ReasonLeastDelay routing.Reason = "least-delay"
+	// ReasonPacked means that the endpoint is the first to be filled.
+	ReasonPacked routing.Reason = "packed"
+)
 
 func (q *Query) verdict(s *State) routing.Reason {
 	for _, tried := range q.Tried {
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -106,6 +106,31 @@
 		}
 		So(sent, ShouldBeBetweenOrEqual, 2, 3)
 	})
+	Convey("Packed requests fill one endpoint after the other, the same for all instances", t, func() {
+		used := map[routing.EndpointID]int{}
+		list := states(12, 48)
+		for i := range 60 {
+			q := query(1000, Part{"sys", 100}, Part{PartID(fmt.Sprint("own", i)), 500})
+			q.Pack, q.Zone = "v2", ticket.ZoneName([]string{"a", "b"}[i%2])
+			c := Choose(list, q, random)
+			So(c.Loaded, ShouldEqual, c.State.Fill(1000) >= loadedFill)
+			So(q.Begin(c.State), ShouldBeTrue)
+			used[c.State.Endpoint.ID]++
+		}
+		So(len(used), ShouldEqual, 2)
+	})
+	Convey("A long prompt is not packed: it would hold up the reading of the others", t, func() {
+		list := states(12, 48)
+		used := map[routing.EndpointID]int{}
+		for i := range 48 {
+			q := query(1000, Part{"sys", 100}, Part{PartID(fmt.Sprint("own", i)), 9000})
+			q.Pack = "v2"
+			c := Choose(list, q, random)
+			So(q.Begin(c.State), ShouldBeTrue)
+			used[c.State.Endpoint.ID]++
+		}
+		So(len(used), ShouldBeGreaterThan, 6)
+	})
 	Convey("Parts are known by the model that read them", t, func() {
 		s := states(1, 48)[0]
 		parts := []Part{{"sys", 500}, {"thing", 4800}}
--- a/policy/rollout/canary.go
+++ b/policy/rollout/canary.go
@@ -17,8 +17,9 @@
 	PhaseSettle Phase = "settle"
 	// PhaseCanary sends a small share of the sessions to the new release.
 	PhaseCanary Phase = "canary"
-	// PhaseRamp sends more and more of them, to as few endpoints as can bear them.
-	PhaseRamp Phase = "ramp"
+	// PhaseLoad sends a large share of them, to as few endpoints as can bear them:
+	// a release that fails under load does so there.
+	PhaseLoad Phase = "load"
 	// PhaseFull sends all of them and watches.
 	PhaseFull Phase = "full"
 	// PhaseDone allows the order to be completed.
@@ -31,11 +32,14 @@
 	settleSpan = 1500 * clock.Millis(1)
 	// canaryPart is the share of the exposure bound that the canary uses; the
 	// rest is for a release that turns bad under load.
-	canaryPart = 0.35
-	// rampFrom is the part of an order's time after which the share grows.
-	rampFrom = 0.60
+	canaryPart = 0.27
+	// loadFrom is the part of an order's time after which a few endpoints are filled,
+	// and loadShare the share of the sessions that they get: half of an endpoint's
+	// slots run at once on the users' deployments on calm days.
+	loadFrom  = 0.60
+	loadShare = 0.5
 	// fullFrom is the part after which all traffic has moved.
-	fullFrom = 0.76
+	fullFrom = 0.75
 	// doneFrom is the part after which the order is completed.
 	doneFrom = 0.85
 	// minBad is how many bad answers it takes to stop a release.
@@ -50,8 +54,8 @@
 		return PhaseDone
 	case part >= fullFrom:
 		return PhaseFull
-	case part >= rampFrom:
-		return PhaseRamp
+	case part >= loadFrom:
+		return PhaseLoad
 	case elapsed < settleSpan:
 		return PhaseSettle
 	}
@@ -71,11 +75,8 @@
 		return 0
 	case PhaseCanary:
 		return FirstShare(bound)
-	case PhaseRamp:
-		part := (float64(elapsed)/float64(span) - rampFrom) / (fullFrom - rampFrom)
-		// It grows slowly at first: a release that fails under load shows that on
-		// the first endpoints that are filled.
-		return FirstShare(bound) + (1-FirstShare(bound))*part*part
+	case PhaseLoad:
+		return loadShare
 	}
 	return 1
 }
@@ -93,24 +94,42 @@
 	leastSpread = 2
 )
 
-// Spread reports whether bad answers come from so many of a release's endpoints
-// that the release is at fault. answers is the number of answers of the release.
-func Spread(bad, endpoints int, answers int64) bool {
-	if endpoints <= 1 {
-		return bad > 0
+// Span is the evidence on one route over a part of an order's time.
+type Span struct {
+	From, To evidence.Tally
+	// Bad counts the new release's endpoints that gave bad answers.
+	Bad int
+	// Reached counts those that had requests.
+	Reached int
+}
+
+// spread reports whether bad answers come from so many endpoints that the
+// release is at fault.
+func (s Span) spread() bool {
+	if s.Reached <= 1 {
+		return s.Bad > 0
 	}
 	// So many answers reach so many endpoints, if they fall at random.
-	reached := float64(endpoints) * (1 - math.Pow(1-1/float64(endpoints), float64(answers)))
-	return bad >= leastSpread && float64(bad) >= spreadShare*reached
+	n := float64(s.Reached)
+	reached := n * (1 - math.Pow(1-1/n, float64(s.To.Rated())))
+	return s.Bad >= leastSpread && float64(s.Bad) >= spreadShare*reached
 }
 
-// JudgeSpans judges the new release by several spans of evidence, so that a
-// release that turns bad late is not excused by what came before.
-func JudgeSpans(from, to []evidence.Tally, prior float64) Verdict {
-	for i := range to {
-		if to[i].Bad >= minBad && Judge(from[i], to[i], prior) == VerdictStop {
+// VerdictEndpoints means that the new release does worse at a few endpoints only.
+const VerdictEndpoints Verdict = "endpoints"
+
+// JudgeSpans judges the new release by several spans of an order's time, so that
+// a release that turns bad late is not excused by what came before.
+func JudgeSpans(spans []Span, prior float64) Verdict {
+	verdict := VerdictContinue
+	for _, s := range spans {
+		if s.To.Bad < minBad || Judge(s.From, s.To, prior) != VerdictStop {
+			continue
+		}
+		if s.spread() {
 			return VerdictStop
 		}
+		verdict = VerdictEndpoints
 	}
-	return VerdictContinue
+	return verdict
 }
--- a/policy/rollout/canary_test.go
+++ b/policy/rollout/canary_test.go
@@ -50,7 +50,7 @@
 	}
 	Convey("Verdicts", t, func() {
 		for _, row := range rows {
-			got := JudgeSpans([]evidence.Tally{row.from}, []evidence.Tally{row.to}, 0.95)
+			got := JudgeSpans([]Span{{From: row.from, To: row.to, Bad: 6, Reached: 6}}, 0.95)
 			SoMsg(row.name, got, ShouldEqual, row.want)
 		}
 	})
@@ -59,7 +59,7 @@
 		recent := evidence.Tally{Good: 9, Bad: 9}
 		from := evidence.Tally{Good: 4000, Bad: 40}
 		So(Judge(from, whole, 0.95), ShouldEqual, VerdictContinue)
-		So(JudgeSpans([]evidence.Tally{from, from}, []evidence.Tally{whole, recent}, 0.95), ShouldEqual, VerdictStop)
+		So(JudgeSpans([]Span{{from, whole, 6, 6}, {from, recent, 6, 6}}, 0.95), ShouldEqual, VerdictStop)
 	})
 }
 
@@ -79,10 +79,11 @@
 		{"one endpoint of one", 1, 1, 5, true},
 		{"a bad release with four endpoints", 3, 4, 10, true},
 		{"one sick endpoint of four", 1, 4, 40, false},
+		{"two endpoints that were filled first, and both fail", 2, 2, 40, true},
 	}
 	Convey("A release is blamed if its bad answers come from many of its endpoints", t, func() {
 		for _, row := range rows {
-			SoMsg(row.name, Spread(row.bad, row.endpoints, row.answers), ShouldEqual, row.want)
+			SoMsg(row.name, Span{To: evidence.Tally{Good: row.answers}, Bad: row.bad, Reached: row.endpoints}.spread(), ShouldEqual, row.want)
 		}
 	})
 }
