--- a/entry/promises/billing_test.go
+++ b/entry/promises/billing_test.go
@@ -198,6 +198,32 @@
 	})
 }
 
+// TestExplorationIsOneBill draws many runs: in a few the cascade tries the cheaper
+// version alone, to learn; that is one bill for one answer.
+func TestExplorationIsOneBill(t *testing.T) {
+	const runs, mostExplored = 60, 15 // a quarter, the largest share that explores
+	explored := 0
+	for i := range runs {
+		inWorld(t, "each run is one bill for what it ran", instance.Options{Run: fmt.Sprint("run-", i)}, func(w *world) {
+			w.escalating()
+			got := w.nodes["node-a"].chat("auto", "please check", "Request-Class", "triage")
+			w.settle(10 * time.Second)
+			bills := w.fold().Bills()
+			So(len(bills), ShouldEqual, 1)
+			version, attempts := "large@1", 2
+			if bills[0].Attempts == 1 {
+				version, attempts = "small@1", 1
+				explored++
+			}
+			So(got.header.Get("Model-Version"), ShouldEqual, version)
+			So(bills[0].Attempts, ShouldEqual, attempts)
+		})
+	}
+	if explored == 0 || explored > mostExplored {
+		t.Errorf("%d of %d runs explored", explored, runs)
+	}
+}
+
 func TestEscalationAfterAFailure(t *testing.T) {
 	inWorld(t, "a cheap version that cannot answer gives way to the next", instance.Options{}, func(w *world) {
 		w.escalating()
--- a/entry/promises/harness_test.go
+++ b/entry/promises/harness_test.go
@@ -56,6 +56,8 @@
 	engines   map[string]*engine.Engine
 	services  map[string]*service.Service
 	options   instance.Options
+	// runs counts the starts of instances.
+	runs int
 	// output takes the instances' logs.
 	output io.Writer
 
@@ -181,7 +183,13 @@
 		Connect:   n.connect,
 		Dial:      n.dial,
 	}
-	i, err := instance.New(s, outside, w.clock, w.logger(name), tally.NoopScope, w.options)
+	options := w.options
+	if options.Run == "" {
+		// The run also seeds what an instance draws: the same in each run of a test.
+		w.runs++
+		options.Run = fmt.Sprint("run-", w.runs)
+	}
+	i, err := instance.New(s, outside, w.clock, w.logger(name), tally.NoopScope, options)
 	if err != nil {
 		w.t.Fatal(err)
 	}
