Tell loads as changes since the list that a peer holds

Cause: each exchange carried the loads of all endpoints; at 600 endpoints that took all of the 24 KB/s that control may take of an instance's link (docs/CAPACITY.md named it as over the bound). Ruled out: changes without a turn for exact values (errors of a quarter stayed; TestLoads showed it). Before: 24.4 KB/s an instance in TestLoadsInFewBytes, which failed. After: 10.2 KB/s, the sum of the errors under a third of the requests, mostly their age.

--- /dev/null
+++ b/entry/relay/loads.go
@@ -0,0 +1,143 @@
+package relay
+
+import (
+	"maps"
+
+	"github.com/cespare/xxhash/v2"
+
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/routing"
+)
+
+const (
+	// loadSpan is how long a told load counts.
+	loadSpan = 1500 * clock.Millis(1)
+	// loadSlack is the part of a load by which it may differ from what was told, as
+	// a divisor: at 600 endpoints, exact lists would take most of what an instance
+	// may send.
+	loadSlack = 4
+	// loadParts is in how many lists each load is told exactly once.
+	loadParts = 8
+)
+
+// loads is a list of requests at endpoints that one instance told another.
+type loads struct {
+	counts map[routing.EndpointID]int
+	of     Whose
+	at     clock.Millis
+	number Edition
+}
+
+// changes returns how counts differ from the list; an endpoint without requests
+// is told as 0. Small differences wait for the endpoint's turn.
+func (l *loads) changes(counts map[routing.EndpointID]int) map[routing.EndpointID]int {
+	changed := map[routing.EndpointID]int{}
+	turn := uint64(l.number) % loadParts
+	for id, n := range counts {
+		old := l.counts[id]
+		off := max(n-old, old-n)
+		if off > old/loadSlack || off > 0 && xxhash.Sum64String(string(id))%loadParts == turn {
+			changed[id] = n
+		}
+	}
+	for id, n := range l.counts {
+		if _, ok := counts[id]; !ok && n > 0 {
+			changed[id] = 0
+		}
+	}
+	return changed
+}
+
+// apply takes changes into the list.
+func (l *loads) apply(changed map[routing.EndpointID]int) {
+	for id, n := range changed {
+		if n == 0 {
+			delete(l.counts, id)
+		} else {
+			l.counts[id] = n
+		}
+	}
+}
+
+// tell fills in the loads for a peer: the changes, if it holds the last list.
+// The caller holds the members' lock.
+func (p *peer) tell(m *Message, of Whose, counts map[routing.EndpointID]int) {
+	m.LoadsOf, m.LoadsHeld = of, p.heardLoads.number
+	m.LoadsAt = p.told.number + 1
+	if p.told.of == of && p.told.number > 0 && p.toldHeld == p.told.number {
+		m.LoadsSince = p.told.number
+		m.Loads = p.told.changes(counts)
+		p.told.apply(m.Loads)
+	} else {
+		m.Loads = counts
+		p.told.counts = maps.Clone(counts)
+		if p.told.counts == nil {
+			p.told.counts = map[routing.EndpointID]int{}
+		}
+	}
+	p.told.of, p.told.number = of, m.LoadsAt
+}
+
+// hear takes what a peer told of loads, and reports whether it is complete. The
+// caller holds the members' lock.
+func (p *peer) hear(m *Message, now clock.Millis) bool {
+	p.toldHeld = m.LoadsHeld
+	l := &p.heardLoads
+	switch {
+	case m.LoadsOf == "":
+		return false
+	case m.LoadsSince == 0:
+		l.counts = maps.Clone(m.Loads)
+		if l.counts == nil {
+			l.counts = map[routing.EndpointID]int{}
+		}
+	case m.LoadsSince == l.number && m.LoadsOf == l.of:
+		l.apply(m.Loads)
+	default:
+		l.number = 0 // A list between was lost; the peer sends the next whole.
+		return false
+	}
+	l.of, l.at, l.number = m.LoadsOf, now, m.LoadsAt
+	return true
+}
+
+// loads fills in the requests at endpoints; the caller holds the members' lock.
+func (r *Relay) loads(m *Message, p *peer, own map[routing.EndpointID]int, reader bool, now clock.Millis) {
+	if p == nil {
+		return // A peer that is not known yet tells of itself first.
+	}
+	sameZone := p.member.Zone == m.From.Zone
+	switch {
+	case !reader && sameZone:
+		p.tell(m, WhoseOwn, own)
+	case reader && sameZone:
+		p.tell(m, WhoseOthers, r.sum(now, own, func(other *peer) bool { return other != p }))
+	case reader:
+		p.tell(m, WhoseZone, r.sum(now, own, func(other *peer) bool { return other.heardLoads.of == WhoseOwn }))
+	}
+}
+
+// sum adds what the chosen peers told lately; the caller holds the members' lock.
+func (r *Relay) sum(now clock.Millis, own map[routing.EndpointID]int, choose func(*peer) bool) map[routing.EndpointID]int {
+	total := make(map[routing.EndpointID]int, len(own))
+	maps.Copy(total, own)
+	for _, p := range r.members.peers {
+		if p.heardLoads.of == WhoseOthers || now-p.heardLoads.at > loadSpan || !choose(p) {
+			continue
+		}
+		for id, n := range p.heardLoads.counts {
+			total[id] += n
+		}
+	}
+	return total
+}
+
+// others returns what all others have at endpoints after a peer told of loads: a
+// reader sums that up, a plain member hears it from its reader. The caller holds
+// the members' lock.
+func (r *Relay) others(p *peer, now clock.Millis) map[routing.EndpointID]int {
+	if p.heardLoads.of == WhoseOthers {
+		return maps.Clone(p.heardLoads.counts)
+	}
+	return r.sum(now, nil, func(*peer) bool { return true })
+}
--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -8,7 +8,6 @@
 
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/clock"
-	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/ticket"
 )
 
@@ -30,10 +29,12 @@
 	heads map[registry.Feed]registry.Offset
 	// count is how many instances the peer counts.
 	count int
-	// loads are the peer's own requests or those of its zone, as loadsOf says.
-	loads   map[routing.EndpointID]int
-	loadsOf Whose
-	loadsAt clock.Millis
+	// heardLoads is what the peer told of its own requests or those of others,
+	// told what it holds of this instance's.
+	heardLoads loads
+	told       loads
+	// toldHeld is the last of this instance's lists that the peer holds.
+	toldHeld Edition
 	// suspicions is how many of the listed suspicions the peer was told.
 	suspicions int
 	// holds is the same for the listed holds.
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -58,16 +58,24 @@
 	// Rows are the sender's own tallies to its zone's reader, and sums of zones
 	// between readers.
 	Rows []row `json:"rows,omitempty"`
-	// Loads are requests at endpoints, as LoadsOf says.
+	// Loads are requests at endpoints, as LoadsOf says: all of them, or those that
+	// changed since the list with the number LoadsSince, if that is set.
 	Loads      map[routing.EndpointID]int `json:"loads,omitempty"`
 	LoadsOf    Whose                      `json:"loads-of,omitempty"`
-	Suspicions []quarantine.Suspicion     `json:"suspicions,omitempty"`
+	LoadsAt    Edition                    `json:"loads-at,omitempty"`
+	LoadsSince Edition                    `json:"loads-since,omitempty"`
+	// LoadsHeld is the receiver's last list that the sender holds.
+	LoadsHeld  Edition                `json:"loads-held,omitempty"`
+	Suspicions []quarantine.Suspicion `json:"suspicions,omitempty"`
 	// Holds are the sessions that must stay on the old release of an order.
 	Holds   []Hold                `json:"holds,omitempty"`
 	Stops   []catalog.OrderNumber `json:"stops,omitempty"`
 	Leaving bool                  `json:"leaving,omitempty"`
 }
 
+// Edition numbers the lists of loads that one instance told another, from 1.
+type Edition uint64
+
 // Whose says whose requests are counted.
 type Whose string
 
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -50,9 +50,6 @@
 	Scope  tally.Scope
 }
 
-// loadSpan is how long a told load counts.
-const loadSpan = 1500 * clock.Millis(1)
-
 // Relay exchanges knowledge with the other instances.
 type Relay struct {
 	// Loads returns this instance's requests at endpoints.
@@ -138,7 +135,7 @@
 		m.Members = r.members.list(zone, now)
 	}
 	reader := r.members.ranked(m.From.Zone, now)[0].Name == m.From.Name
-	r.loads(m, to, own, reader, zone == m.From.Zone, now)
+	r.loads(m, p, own, reader, now)
 	r.members.mu.Unlock()
 	m.Rows = r.rows(zone == m.From.Zone, reader, m.From.Zone)
 	for number := range r.stops {
@@ -150,6 +147,7 @@
 
 // take merges what a peer told.
 func (r *Relay) take(m *Message, now clock.Millis) {
+	var others map[routing.EndpointID]int
 	r.members.mu.Lock()
 	for _, h := range m.Members {
 		if h.Name != m.From.Name {
@@ -163,16 +161,16 @@
 			p.heads = map[registry.Feed]registry.Offset{}
 		}
 		p.count = m.Count
-		if m.LoadsOf != "" {
-			p.loads, p.loadsOf, p.loadsAt = m.Loads, m.LoadsOf, now
+		if p.hear(m, now) {
+			others = r.others(p, now)
 		}
 		p.leaving = m.Leaving
 		p.failing = false
 		p.retry = 0
 	}
 	r.members.mu.Unlock()
-	if m.LoadsOf != "" {
-		r.others(m, now)
+	if others != nil {
+		r.Loaded(others) // The pool asks this relay under its lock, so none is held.
 	}
 	r.mu.Lock()
 	r.met = true
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -38,6 +39,8 @@
 	// deaf reports whether the store turns an instance away.
 	deaf  func(name string) bool
 	reads atomic.Int64
+	// bytes counts what each address got and answered.
+	bytes map[string]int
 	// offset is the end of the orders feed at the store.
 	offset atomic.Int64
 }
@@ -60,11 +63,16 @@
 	}
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, r)
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	for _, address := range []string{w.from, r.URL.Host} {
+		w.fleet.bytes[address] += int(r.ContentLength) + recorder.Body.Len()
+	}
 	return recorder.Result(), nil
 }
 
 func newFleet(ctx context.Context, zones, perZone int) *fleet {
-	f := &fleet{handlers: map[string]http.Handler{}, cut: func(string, string) bool { return false }, deaf: func(string) bool { return false }}
+	f := &fleet{handlers: map[string]http.Handler{}, bytes: map[string]int{}, cut: func(string, string) bool { return false }, deaf: func(string) bool { return false }}
 	f.offset.Store(1)
 	seeds := []string{"z0-0", "z1-0"}
 	for z := range zones {
@@ -343,6 +351,79 @@
 
 // TestPeersMeetAgain cuts the members of a zone from each other for a while, so
 // that each takes the others for lost: afterwards one of them reads again.
+func TestLoadsInFewBytes(t *testing.T) {
+	const endpoints, instances, target = 600, 12, 24_000 // bytes a second for one instance
+	inBubble(t, func(ctx context.Context) {
+		f := newFleet(ctx, 2, instances/2)
+		random := rand.New(rand.NewPCG(1, 2))
+		var mu sync.Mutex
+		counts := make([]map[routing.EndpointID]int, instances)
+		heard := make([]map[routing.EndpointID]int, instances)
+		for i, r := range f.relays {
+			counts[i] = map[routing.EndpointID]int{}
+			r.Loads = func() map[routing.EndpointID]int {
+				mu.Lock()
+				defer mu.Unlock()
+				return maps.Clone(counts[i])
+			}
+			r.Loaded = func(others map[routing.EndpointID]int) {
+				mu.Lock()
+				defer mu.Unlock()
+				heard[i] = others
+			}
+		}
+		// 2,400 requests a second of two seconds each: eight at an endpoint.
+		go func() {
+			for ctx.Err() == nil {
+				for range 24 {
+					i, id := random.IntN(instances), routing.EndpointID(fmt.Sprintf("i-%010d", random.IntN(endpoints)))
+					mu.Lock()
+					counts[i][id]++
+					mu.Unlock()
+					time.AfterFunc(2*time.Second, func() {
+						mu.Lock()
+						defer mu.Unlock()
+						if counts[i][id]--; counts[i][id] == 0 {
+							delete(counts[i], id)
+						}
+					})
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		}()
+		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		clear(f.bytes)
+		f.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		for i, r := range f.relays {
+			if sent := f.bytes[r.Self().Address] / 10; r.Rank() > 0 && sent > target {
+				t.Errorf("instance %d: %d bytes a second, target %d", i, sent, target)
+			}
+		}
+		f.mu.Unlock()
+		mu.Lock()
+		defer mu.Unlock()
+		for i := range heard {
+			off, sum := 0, 0
+			for e := range endpoints {
+				id, others := routing.EndpointID(fmt.Sprintf("i-%010d", e)), 0
+				for j := range counts {
+					if j != i {
+						others += counts[j][id]
+					}
+				}
+				off += max(others-heard[i][id], heard[i][id]-others)
+				sum += others
+			}
+			if off*3 > sum {
+				t.Errorf("instance %d is off by %d of %d requests", i, off, sum)
+			}
+		}
+	})
+}
+
 func TestPeersMeetAgain(t *testing.T) {
 	inBubble(t, func(ctx context.Context) {
 		f := newFleet(ctx, 2, 3)
--- a/entry/relay/tallies.go
+++ b/entry/relay/tallies.go
@@ -1,55 +1,12 @@
 package relay
 
 import (
-	"maps"
-
 	"foxtailbridge/policy/catalog"
-	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
 	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/ticket"
 )
 
-// loads fills in the requests at endpoints; the caller holds the members' lock.
-func (r *Relay) loads(m *Message, to string, own map[routing.EndpointID]int, reader, sameZone bool, now clock.Millis) {
-	switch {
-	case !reader && sameZone:
-		m.LoadsOf, m.Loads = WhoseOwn, own
-	case reader && sameZone:
-		m.LoadsOf, m.Loads = WhoseOthers, r.sum(now, own, func(p *peer) bool { return p.member.Name != to })
-	case reader:
-		m.LoadsOf, m.Loads = WhoseZone, r.sum(now, own, func(p *peer) bool { return p.loadsOf == WhoseOwn })
-	}
-}
-
-// sum adds what the chosen peers told lately; the caller holds the members' lock.
-func (r *Relay) sum(now clock.Millis, own map[routing.EndpointID]int, choose func(*peer) bool) map[routing.EndpointID]int {
-	total := make(map[routing.EndpointID]int, len(own))
-	maps.Copy(total, own)
-	for _, p := range r.members.peers {
-		if p.loadsOf == WhoseOthers || now-p.loadsAt > loadSpan || !choose(p) {
-			continue
-		}
-		for id, n := range p.loads {
-			total[id] += n
-		}
-	}
-	return total
-}
-
-// others tells this instance, if it reads for its zone, what all others have at
-// endpoints; a plain member hears that from its reader.
-func (r *Relay) others(m *Message, now clock.Millis) {
-	if m.LoadsOf == WhoseOthers {
-		r.Loaded(m.Loads)
-		return
-	}
-	r.members.mu.Lock()
-	total := r.sum(now, nil, func(*peer) bool { return true })
-	r.members.mu.Unlock()
-	r.Loaded(total)
-}
-
 // rows returns the evidence for a peer; the caller holds the lock.
 func (r *Relay) rows(sameZone, reader bool, zone ticket.ZoneName) []row {
 	var list []row
