Count failed runs as load, for all instances, and mend rare failures elsewhere

Change: a failed run counts for a fifth of an endpoint's slots for some seconds where failures are rare (a fortieth where requests often fail by themselves), told to others with the loads; a rare failure is repeated once elsewhere.

--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -46,6 +46,8 @@
 	delays map[delayKey]*placement.Average
 	// paces holds the usual time between events of each model.
 	paces map[ticket.ModelName]*pace
+	// failing holds the usual share of failures on each route.
+	failing map[catalog.RouteName]*placement.Average
 	// sizes holds the mean size of each route's requests.
 	sizes map[catalog.RouteName]*placement.Average
 	// reach is what is known of the way to each zone.
@@ -80,6 +82,7 @@
 		known:     map[endpointKey]*placement.State{},
 		delays:    map[delayKey]*placement.Average{},
 		paces:     map[ticket.ModelName]*pace{},
+		failing:   map[catalog.RouteName]*placement.Average{},
 		sizes:     map[catalog.RouteName]*placement.Average{},
 		reach:     map[ticket.ZoneName]*reach{},
 	}
@@ -248,15 +251,23 @@
 	excessRuns  = 5
 )
 
-// rate counts a run for the endpoint, and returns whether the endpoint fails
-// more often than its peers.
-func (e *endpoints) rate(s *placement.State, service ticket.ServiceName, failed bool) bool {
+// rate counts a run for the endpoint and its route.
+func (e *endpoints) rate(s *placement.State, route *catalog.Route, service ticket.ServiceName, failed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	value := 0.0
 	if failed {
 		value = 1
 	}
+	usual := e.failing[route.Name]
+	if usual == nil {
+		usual = &placement.Average{Mean: assumedFailure, Count: assumedRuns}
+		e.failing[route.Name] = usual
+	}
+	smooth(usual, value, usualFailureRuns)
+	if failed {
+		s.Fault(usual.Mean < rareFailure, e.clock.Mono())
+	}
 	p := e.pool(service)
 	s.Failures.Add(value)
 	smooth(&p.failures, value, failureRuns)
@@ -264,14 +275,25 @@
 	if s.Failures.Count >= excessRuns {
 		s.Excess = max(0, s.Failures.Mean-2*p.failures.Mean-excessFloor)
 	}
-	return s.Excess > 0
 }
 
-// doubtful reports whether the endpoint fails more often than its peers.
-func (e *endpoints) doubtful(s *placement.State) bool {
+const (
+	// rareFailure is the share of failures on a route below which one is more likely
+	// the endpoint's fault than the request's.
+	rareFailure = 0.08
+	// assumedFailure is the share assumed on a new route, by the weight of assumedRuns.
+	assumedFailure = 0.02
+	assumedRuns    = 40
+)
+
+// doubtful reports whether a failure says little about the request: the endpoint
+// fails more often than its peers, or requests of the route hardly ever fail. An
+// instance of many sees an endpoint too seldom to know the first.
+func (e *endpoints) doubtful(s *placement.State, route catalog.RouteName) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return s.Excess > 0
+	usual := e.failing[route]
+	return s.Excess > 0 || usual == nil || usual.Mean < rareFailure
 }
 
 const (
@@ -281,9 +303,11 @@
 	slowFloor  = 150.0
 	// usualRuns is how many runs make a usual delay.
 	usualRuns = 10
-	// delayRuns and failureRuns are how many runs those means look back on.
-	delayRuns   = 16
-	failureRuns = 200
+	// delayRuns, failureRuns and usualFailureRuns are how many runs those means look
+	// back on; the last outlasts the faults of endpoints.
+	delayRuns        = 16
+	failureRuns      = 200
+	usualFailureRuns = 500
 )
 
 // delay takes the time to the first byte of a run, and reports whether it was
@@ -316,14 +340,15 @@
 	return 0
 }
 
-// own returns this instance's requests at endpoints.
+// own returns this instance's requests at endpoints, with what failed runs count for.
 func (e *endpoints) own() map[routing.EndpointID]int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := e.clock.Mono()
 	counts := map[routing.EndpointID]int{}
 	for key, s := range e.known {
-		if s.Own > 0 {
-			counts[key.id] += s.Own
+		if n := s.Told(now); n > 0 {
+			counts[key.id] += n
 		}
 	}
 	return counts
--- a/entry/forward/evidence.go
+++ b/entry/forward/evidence.go
@@ -30,7 +30,7 @@
 	}
 	r.rated = true
 	t := r.task
-	t.endpoints.rate(r.state, t.service.Name, failed)
+	t.endpoints.rate(r.state, t.route, t.service.Name, failed)
 	if r.answer != nil { // A channel that broke says more of the endpoint than of its release.
 		r.count(t.route.Name, !failed && !r.slow)
 		if r.loaded || t.arm == ArmOld {
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -243,7 +243,7 @@
 		end.Result = attempt.ResultFailed
 		t.count()
 		r.rate(answer.Status >= http.StatusInternalServerError)
-		end.Doubtful = t.endpoints.doubtful(s)
+		end.Doubtful = t.endpoints.doubtful(s, t.route.Name)
 		r.end()
 	default:
 		t.count()
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -106,6 +107,50 @@
 		}
 		So(sent, ShouldBeBetweenOrEqual, 2, 3)
 	})
+	Convey("Endpoints that fail at once draw no more requests than others, also at machines that never met them", t, func() {
+		const machines, endpoints, sick = 20, 12, 3
+		views := make([][]*State, machines)
+		for m := range views {
+			views[m] = states(endpoints, 32)
+		}
+		failed, sent := 0, 0
+		for now := clock.Millis(0); now < 10*clock.Second; now += 300 {
+			for m := range views {
+				for i := range views[m] { // What the relay passes on each 300 ms.
+					others := 0
+					for o := range views {
+						if o != m {
+							others += views[o][i].Told(now)
+						}
+					}
+					views[m][i].Others(others, now)
+				}
+			}
+			for m, list := range views {
+				for range 2 {
+					q := query(now, Part{"own", 500})
+					q.Zone = ticket.ZoneName([]string{"a", "b"}[m%2])
+					c := Choose(list, q, random)
+					i := slices.Index(list, c.State)
+					So(q.Begin(c.State), ShouldBeTrue)
+					sent++
+					if i < sick { // It answers at once, the others after 600 ms.
+						c.State.Own--
+						c.State.Fault(true, now)
+						failed++
+					}
+				}
+			}
+			if now >= 600 {
+				for m := range views {
+					for _, s := range views[m][sick:] {
+						s.Own = s.Own * 2 / 3
+					}
+				}
+			}
+		}
+		So(float64(failed)/float64(sent), ShouldBeLessThan, float64(sick)/endpoints/2)
+	})
 	Convey("Packed requests fill one endpoint after the other, the same for all instances", t, func() {
 		used := map[routing.EndpointID]int{}
 		list := states(12, 48)
--- a/policy/placement/state.go
+++ b/policy/placement/state.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"math"
+
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/share"
@@ -52,6 +54,8 @@
 	ownAtReport int
 	downUntil   clock.Millis
 	misses      int
+	faults      float64
+	faultsAt    clock.Millis
 	parts       map[keptPart]clock.Millis
 }
 
@@ -124,6 +128,39 @@
 	return was
 }
 
+const (
+	// faultMemory is how long a failed run goes on to count as load: an endpoint
+	// that fails at once would otherwise look free and draw all requests.
+	faultMemory = 3 * clock.Second
+	// rareFault and commonFault are the parts of an endpoint's slots that a failed run
+	// counts for, if requests of its kind hardly ever fail, and if they often do.
+	rareFault   = 0.2
+	commonFault = 0.025
+)
+
+// Fault notes a failed run; rare means that requests of its kind hardly ever fail.
+func (s *State) Fault(rare bool, now clock.Millis) {
+	weight := commonFault
+	if rare {
+		weight = rareFault
+	}
+	s.faults = s.faulty(now) + weight
+	s.faultsAt = now
+}
+
+// faulty returns the part of the slots that failed runs count for.
+func (s *State) faulty(now clock.Millis) float64 {
+	if s.faults == 0 {
+		return 0
+	}
+	return s.faults * math.Exp(-float64(now-s.faultsAt)/float64(faultMemory))
+}
+
+// Told returns the requests that other instances are told of.
+func (s *State) Told(now clock.Millis) int {
+	return s.Own + int(math.Round(s.faulty(now)*float64(s.Endpoint.Slots)))
+}
+
 // Report takes the endpoint's word on its load.
 func (s *State) Report(load Load, now clock.Millis) {
 	s.load = load
@@ -160,7 +197,7 @@
 
 // Fill returns the occupied share of slots; it may exceed 1.
 func (s *State) Fill(now clock.Millis) float64 {
-	return float64(s.Occupied(now)) / float64(max(1, s.Endpoint.Slots))
+	return float64(s.Occupied(now))/float64(max(1, s.Endpoint.Slots)) + s.faulty(now)
 }
 
 // Keep remembers that a model at the endpoint has read the parts.
