Compare filled endpoints only where the evidence comes from them

Cause: bad answers of few sick endpoints were compared with the few filled ones on every route, and a sick endpoint's failures made it look loaded.

--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -171,7 +171,7 @@
 			continue
 		}
 		fields := []any{"service", order.Service, "target", order.Target, "order", order.Number, "route", route,
-			"good", t.to.Good, "bad", t.to.Bad, "old-good", t.from.Good, "old-bad", t.from.Bad, "bad-endpoints", len(t.bad), "busy", busy(w.history)}
+			"good", t.to.Good, "bad", t.to.Bad, "old-good", t.from.Good, "old-bad", t.from.Bad, "bad-endpoints", len(t.bad), "busy", busy(w.history, nil)}
 		if verdict == rollout.VerdictEndpoints {
 			d.logger.Info("endpoints-bad", fields...)
 			continue
@@ -234,17 +234,22 @@
 // last sample of the watch is the newest.
 func (d *Duty) spans(view *registry.State, order *catalog.Order, w *watch, route catalog.RouteName, now clock.Millis) []rollout.Span {
 	t := w.history[len(w.history)-1].routes[route]
-	list := []rollout.Span{{From: t.from, To: t.to, Bad: len(t.bad), Reached: release(view, order)}}
+	all := release(view, order)
+	list := []rollout.Span{{From: t.from, To: t.to, Bad: len(t.bad), Reached: all}}
 	for _, span := range []clock.Millis{shortSpan, longSpan} {
 		first := slices.IndexFunc(w.history, func(s sample) bool { return now-s.at <= span })
 		old := w.history[first].routes[route]
-		s := rollout.Span{To: t.to.Minus(old.to), From: worse(t.from, t.from.Minus(old.from))}
-		for endpoint, bad := range t.bad {
-			if bad > old.bad[endpoint] {
-				s.Bad++
+		bad := map[routing.EndpointID]bool{}
+		for endpoint, n := range t.bad {
+			if n > old.bad[endpoint] {
+				bad[endpoint] = true
 			}
 		}
-		s.Reached = max(s.Bad, busy(w.history[first:]))
+		s := rollout.Span{To: t.to.Minus(old.to), From: worse(t.from, t.from.Minus(old.from)), Bad: len(bad), Reached: all}
+		if route == forward.LoadRoute || route == forward.MovedRoute {
+			// What these count comes from the endpoints that are filled.
+			s.Reached = busy(w.history[first:], bad)
+		}
 		list = append(list, s)
 	}
 	return list
@@ -254,8 +259,9 @@
 // counts as busy too: a release that fails under load does so there.
 const busyPart = 0.5
 
-// busy counts the endpoints that bore the most requests over some samples.
-func busy(samples []sample) int {
+// busy counts the endpoints that bore the most requests over some samples, and
+// those that are listed.
+func busy(samples []sample, listed map[routing.EndpointID]bool) int {
 	top, most := map[routing.EndpointID]int{}, 0
 	for _, s := range samples {
 		for endpoint, n := range s.occupied {
@@ -263,9 +269,9 @@
 			most = max(most, n)
 		}
 	}
-	count := 0
-	for _, n := range top {
-		if float64(n) >= busyPart*float64(most) {
+	count := len(listed)
+	for endpoint, n := range top {
+		if !listed[endpoint] && float64(n) >= busyPart*float64(most) {
 			count++
 		}
 	}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -131,7 +131,7 @@
 	}
 	if packed != nil {
 		best.State, best.Reason = packed, ReasonPacked
-		best.Loaded = packed.Fill(q.Now) >= loadedFill
+		best.Loaded = float64(packed.Occupied(q.Now)) >= loadedFill*float64(packed.Endpoint.Slots)
 	}
 	return best
 }
