Count an answer as under load by the endpoint's own word on its load

Cause: the fill that an instance estimates holds what failed runs count for, so a sick endpoint seemed loaded.

--- a/entry/forward/evidence.go
+++ b/entry/forward/evidence.go
@@ -33,7 +33,7 @@
 	t.endpoints.rate(r.state, t.route, t.service.Name, failed)
 	if r.answer != nil { // A channel that broke says more of the endpoint than of its release.
 		r.count(t.route.Name, !failed && !r.slow)
-		if r.loaded || t.arm == ArmOld {
+		if r.answer.Load.High() || t.arm == ArmOld {
 			r.count(LoadRoute, !failed)
 		}
 	}
@@ -74,7 +74,7 @@
 // Names that stand beside routes for further evidence on a release.
 const (
 	// LoadRoute stands for the answers of all routes from the new release's
-	// endpoints that are filled first; one is bad only if it failed.
+	// endpoints that are under high load by their own word; one is bad only if it failed.
 	LoadRoute catalog.RouteName = "*load"
 	// PaceRoute stands for the pace of streams while the canary runs: one is bad if
 	// it is slower than three quarters of the old release's.
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -19,8 +19,6 @@
 	ended   bool
 	rated   bool
 	slow    bool
-	// loaded is true if the endpoint was among those filled first and is loaded.
-	loaded bool
 	// compared is true once the stream's pace was counted.
 	compared bool
 	// patience is the wait for the answer's head.
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -88,7 +88,7 @@
 		if choice.State == nil {
 			return t.unplaced(choice)
 		}
-		end, answer := t.attempt(ctx, choice)
+		end, answer := t.attempt(ctx, choice.State)
 		if result, done := t.follow(ctx, end, answer); done {
 			return result
 		}
@@ -210,9 +210,8 @@
 }
 
 // attempt sends the request to one endpoint and reads the answer's head.
-func (t *task) attempt(ctx context.Context, choice placement.Choice) (attempt.End, *run) {
-	s := choice.State
-	r := &run{task: t, state: s, loaded: choice.Loaded, reading: t.effort() * float64(placement.Tokens(t.request.Parts)), sentAt: t.clock.Mono(), key: delayKey{t.route.Name, t.model}}
+func (t *task) attempt(ctx context.Context, s *placement.State) (attempt.End, *run) {
+	r := &run{task: t, state: s, reading: t.effort() * float64(placement.Tokens(t.request.Parts)), sentAt: t.clock.Mono(), key: delayKey{t.route.Name, t.model}}
 	t.last = s
 	t.sends++
 	t.tried = append(t.tried, s)
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -46,8 +46,6 @@
 	Reason routing.Reason
 	// Cost is the estimated delay of the choice in milliseconds.
 	Cost float64
-	// Loaded is true if the endpoint was packed and bears a high load by now.
-	Loaded bool
 	// Considered counts the endpoints that were accepted.
 	Considered int
 	// Free is the number of free slots at accepted endpoints.
@@ -89,8 +87,6 @@
 	// packFill is the fill up to which requests are packed onto an endpoint: well
 	// above the half of its slots from which load shows, and short of queueing.
 	packFill = 0.8
-	// loadedFill is the fill from which an endpoint bears a high load.
-	loadedFill = 0.5
 	// packTokens is the most prompt tokens, weighed by the model, of a request
 	// that is packed: long prompts would fill the endpoint's reading, not its slots.
 	packTokens = 2000.0
@@ -131,7 +127,6 @@
 	}
 	if packed != nil {
 		best.State, best.Reason = packed, ReasonPacked
-		best.Loaded = float64(packed.Occupied(q.Now)) >= loadedFill*float64(packed.Endpoint.Slots)
 	}
 	return best
 }
--- a/policy/placement/state.go
+++ b/policy/placement/state.go
@@ -25,6 +25,14 @@
 	Slots   int
 }
 
+// loadedPart is the part of its slots that run at an endpoint under high load.
+const loadedPart = 0.5
+
+// High reports whether the endpoint runs so much that failures under load show.
+func (l *Load) High() bool {
+	return l != nil && float64(l.Running) >= loadedPart*float64(l.Slots)
+}
+
 // State is what one machine knows of one endpoint. It is not safe for concurrent use.
 type State struct {
 	Endpoint *catalog.Endpoint
