Do not divide by no events when a new release's first event is slow; log the sessions held

Found when reading the change: a stream whose first event takes as long as six events may, while traffic moves, was logged with a division by zero, which would have cut the caller's stream. TestSlowFirstEvent panicked before.

--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -92,7 +92,7 @@
 			// A long stream is counted now: its end is too late to stop a release.
 			r.slow = true
 			t.logger.Info("stream-slow", "request", t.request.ID, "endpoint", r.state.Endpoint.ID, "arm", t.arm, "model", r.key.model,
-				"pace-ms", int64(now-began)/int64(events-1), "usual-ms", int64(t.endpoints.pause(r.key.model)), "events", events)
+				"pace-ms", int64(now-began)/int64(max(1, events-1)), "usual-ms", int64(t.endpoints.pause(r.key.model)), "events", events)
 			r.rate(false)
 			t.comparePace(r, now-began, max(events, paceEvents))
 		}
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -65,7 +65,7 @@
 		clock:     parts.Clock,
 		logger:    logger,
 		endpoints: newEndpoints(parts.Clock, logger, limits, parts.Random),
-		releases:  newReleases(parts.Clock, limits, parts.Relay),
+		releases:  newReleases(parts.Clock, limits, parts.Relay, logger),
 	}
 	f.endpoints.instances = parts.Relay.Instances
 	parts.Relay.Loads = f.endpoints.own
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -508,11 +508,7 @@
 		for range 2 * usualRuns {
 			b.serve(t.Context(), "/note/x", nil)
 		}
-		order := &catalog.Order{Number: 5, Service: "engines", Target: "v2", Span: 20 * clock.Second}
-		b.facts["orderx"] = registry.Fact{Order: order}
-		b.facts["newx"] = registry.Fact{Endpoint: &catalog.Endpoint{ID: "new", Born: 1, Service: "engines", Zone: "a", Release: "v2", Slots: 6}}
-		b.registry.Merge(registry.Batch{Feed: registry.FeedEndpoints, Records: []registry.Record{{Key: "new", Value: []byte("x"), Offset: 8}}, From: 8, Head: 9})
-		b.registry.Merge(registry.Batch{Feed: registry.FeedOrders, Records: []registry.Record{{Key: "order", Value: []byte("x"), Offset: 1}}, From: 1, Head: 2})
+		order := b.order(5, 20*clock.Second)
 		slow = true
 		// In the full phase every session gets the new release.
 		time.Sleep(16 * time.Second)
@@ -588,6 +584,37 @@
 	})
 }
 
+// TestSlowFirstEvent moves all traffic to a release whose first event takes longer
+// than six events may.
+func TestSlowFirstEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		pause := 50 * time.Millisecond
+		b.answer = func(int, *Attempt) (*Answer, error) {
+			at := 0
+			return &Answer{Status: 200, Confidence: 90, Close: func() {}, Next: func() (Event, error) {
+				if at++; at > 8 {
+					return Event{}, io.EOF
+				}
+				time.Sleep(pause)
+				return Event{ID: EventID(fmt.Sprint(at)), Raw: []byte("x")}, nil
+			}}, nil
+		}
+		for range 2 * usualRuns {
+			b.serve(t.Context(), "/note/x", nil)
+		}
+		order := b.order(5, 20*clock.Second)
+		time.Sleep(16 * time.Second)
+		pause = 5 * time.Second
+		if c := b.serve(t.Context(), "/note/x", nil); c.events != "xxxxxxxx" {
+			t.Errorf("the caller got %q", c.events)
+		}
+		if got := b.relay.Sum(Series(order, MovedRoute, evidence.ArmTo)); got.Bad != 1 || got.Good != 0 {
+			t.Errorf("%+v counted", got)
+		}
+	})
+}
+
 // TestNextOrderAfterARollBack has an operator order a third release while endpoints
 // of the second, which was rolled back, still run.
 func TestNextOrderAfterARollBack(t *testing.T) {
--- a/entry/forward/releases.go
+++ b/entry/forward/releases.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
 
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/entry/relay"
@@ -28,6 +29,7 @@
 
 // releases decides which release a request gets while an order is under way.
 type releases struct {
+	logger hclog.Logger
 	clock  *clock.Clock
 	limits *atomic.Pointer[Limits]
 	// stopped reports whether an order's new release was found bad.
@@ -46,9 +48,9 @@
 	met map[catalog.OrderNumber]bool
 }
 
-func newReleases(c *clock.Clock, limits *atomic.Pointer[Limits], r *relay.Relay) *releases {
+func newReleases(c *clock.Clock, limits *atomic.Pointer[Limits], r *relay.Relay, logger hclog.Logger) *releases {
 	return &releases{
-		clock: c, limits: limits, stopped: r.Stopped, hold: r.Hold, held: r.Held,
+		logger: logger, clock: c, limits: limits, stopped: r.Stopped, hold: r.Hold, held: r.Held,
 		sessions: map[string]pin{}, bad: map[badRelease]bool{}, met: map[catalog.OrderNumber]bool{},
 	}
 }
@@ -116,18 +118,22 @@
 		return
 	}
 	r.met[p.order.Number] = true
+	held := 0
 	for session, last := range r.sessions {
-		if now < last.until {
-			r.holdOne(p, session, last.release)
+		if now < last.until && r.holdOne(p, session, last.release) {
+			held++
 		}
 	}
+	r.logger.Info("sessions-held", "service", p.order.Service, "target", p.order.Target, "order", p.order.Number, "sessions", held, "known", len(r.sessions))
 }
 
-// holdOne tells of one session if it matters.
-func (r *releases) holdOne(p *progress, session string, release catalog.Release) {
-	if release != p.order.Target && bucket(p.order, session) < rollout.FirstShare(r.limits.Load().Exposure) {
-		r.hold(holdOf(p.order, session))
+// holdOne tells of one session if the canary would take it.
+func (r *releases) holdOne(p *progress, session string, release catalog.Release) bool {
+	if release == p.order.Target || bucket(p.order, session) >= rollout.FirstShare(r.limits.Load().Exposure) {
+		return false
 	}
+	r.hold(holdOf(p.order, session))
+	return true
 }
 
 func holdOf(order *catalog.Order, session string) relay.Hold {
