--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -167,6 +167,18 @@
 	}
 }
 
+// pacedStream answers with so many events, each after the pause.
+func pacedStream(events int, pause time.Duration) *Answer {
+	at := 0
+	return &Answer{Status: http.StatusOK, Confidence: 90, Close: func() {}, Next: func() (Event, error) {
+		if at++; at > events {
+			return Event{}, io.EOF
+		}
+		time.Sleep(pause)
+		return Event{ID: EventID(fmt.Sprint(at)), Raw: []byte("x")}, nil
+	}}
+}
+
 func failure(kind Kind) error { return fault.New("send", kind, "scripted") }
 
 func TestEnds(t *testing.T) {
@@ -490,26 +502,13 @@
 func TestSlowReleaseIsCountedEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench()
-		slow := false
-		b.answer = func(int, *Attempt) (*Answer, error) {
-			at := 0
-			pause := 100 * time.Millisecond
-			if slow {
-				pause *= 8
-			}
-			return &Answer{Status: 200, Confidence: 90, Close: func() {}, Next: func() (Event, error) {
-				if at++; at > 12 {
-					return Event{}, io.EOF
-				}
-				time.Sleep(pause)
-				return Event{ID: EventID(fmt.Sprint(at)), Raw: []byte("x")}, nil
-			}}, nil
-		}
+		pause := 100 * time.Millisecond
+		b.answer = func(int, *Attempt) (*Answer, error) { return pacedStream(12, pause), nil }
 		for range 2 * usualRuns {
 			b.serve(t.Context(), "/note/x", nil)
 		}
 		order := b.order(5, 20*clock.Second)
-		slow = true
+		pause *= 8
 		// In the full phase every session gets the new release.
 		time.Sleep(16 * time.Second)
 		go b.serve(t.Context(), "/note/x", nil)
@@ -590,16 +589,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench()
 		pause := 50 * time.Millisecond
-		b.answer = func(int, *Attempt) (*Answer, error) {
-			at := 0
-			return &Answer{Status: 200, Confidence: 90, Close: func() {}, Next: func() (Event, error) {
-				if at++; at > 8 {
-					return Event{}, io.EOF
-				}
-				time.Sleep(pause)
-				return Event{ID: EventID(fmt.Sprint(at)), Raw: []byte("x")}, nil
-			}}, nil
-		}
+		b.answer = func(int, *Attempt) (*Answer, error) { return pacedStream(8, pause), nil }
 		for range 2 * usualRuns {
 			b.serve(t.Context(), "/note/x", nil)
 		}
