Do not change a list of holds that a message under way still holds

Found when reading the change: holds of an order that is over were deleted in place, under messages that were built and not yet encoded; a peer could have heard sessions twice or as zero. TestForgetDuringAMessage failed before.

--- a/entry/relay/holds.go
+++ b/entry/relay/holds.go
@@ -1,10 +1,6 @@
 package relay
 
-import (
-	"slices"
-
-	"foxtailbridge/policy/catalog"
-)
+import "foxtailbridge/policy/catalog"
 
 // Hold keeps a session on the old release in the first half of an order: it ran
 // there before the order's canary began, at whatever instance.
@@ -47,11 +43,16 @@
 	defer r.members.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := len(r.holds)
-	r.holds = slices.DeleteFunc(r.holds, func(h Hold) bool { return h.Order == number })
-	if len(r.holds) == before {
+	var kept []Hold // A new list: messages under way still hold parts of the old one.
+	for _, h := range r.holds {
+		if h.Order != number {
+			kept = append(kept, h)
+		}
+	}
+	if len(kept) == len(r.holds) {
 		return
 	}
+	r.holds = kept
 	for h := range r.held {
 		if h.Order == number {
 			delete(r.held, h)
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -197,6 +197,29 @@
 	})
 }
 
+// TestForgetDuringAMessage has an order end while a message with its holds waits to
+// be encoded.
+func TestForgetDuringAMessage(t *testing.T) {
+	inBubble(t, func(ctx context.Context) {
+		f := newFleet(ctx, 1, 2)
+		time.Sleep(10 * time.Second)
+		r := f.relays[0]
+		for i := range 6 {
+			r.Hold(Hold{Order: catalog.OrderNumber(1 + i%2), Session: uint64(i)})
+		}
+		m := r.message(f.relays[1].Self().Name, r.parts.Clock.Mono(), false)
+		r.Forget(1)
+		if len(m.Holds) != 6 {
+			t.Fatalf("%d holds told, want 6", len(m.Holds))
+		}
+		for i, h := range m.Holds {
+			if h.Session != uint64(i) {
+				t.Errorf("hold %d became %+v", i, h)
+			}
+		}
+	})
+}
+
 // inBubble runs a test in virtual time and ends the fleet with it.
 func inBubble(t *testing.T, run func(ctx context.Context)) {
 	synctest.Test(t, func(_ *testing.T) {
