--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -238,6 +238,8 @@
 		}
 		if now-r.returned < r.opts.lapseSpan || r.age(FeedEndpoints) > r.opts.awaySpan {
 			// Entries run out while the store is away; a live endpoint writes again.
+			r.logger.Info("endpoint-lapsed", "endpoint", key.key, "offset", next.record.Offset,
+				"since-returned-ms", int64(now-r.returned), "view-age-ms", int64(r.age(FeedEndpoints)))
 			old.lapsed = now
 			old.record.Offset = next.record.Offset
 			return false
