--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -67,8 +67,10 @@
 type sample struct {
 	at     clock.Millis
 	routes map[catalog.RouteName]tallies
-	// occupied counts the requests at the new release's endpoints.
-	occupied map[routing.EndpointID]int
+	// endpoints is the number of the new release's endpoints, occupied counts the
+	// requests at them.
+	endpoints int
+	occupied  map[routing.EndpointID]int
 }
 
 // tallies are the answers of both releases on one route.
@@ -122,7 +124,7 @@
 		d.watches[order.Number] = w
 	}
 	status, ok := view.Statuses[service]
-	mine := ok && status.Target == order.Target && (status.Order == 0 || status.Order == order.Number)
+	mine := ok && status.SpeaksOf(order)
 	if mine && status.Outcome.Final() {
 		return
 	}
@@ -158,7 +160,7 @@
 	answers := int64(0)
 	for route, t := range s.routes {
 		answers = max(answers, t.to.Rated())
-		spans := d.spans(view, order, w, route, now)
+		spans := d.spans(w, route, now)
 		prior := assumedRate
 		switch route {
 		case forward.PaceRoute:
@@ -209,7 +211,10 @@
 }
 
 func (d *Duty) sample(view *registry.State, order *catalog.Order, now clock.Millis) sample {
-	s := sample{at: now, routes: map[catalog.RouteName]tallies{}, occupied: d.Occupied(order.Service, order.Target)}
+	s := sample{
+		at: now, routes: map[catalog.RouteName]tallies{},
+		endpoints: release(view, order), occupied: d.Occupied(order.Service, order.Target),
+	}
 	read := func(route catalog.RouteName) tallies {
 		to, from := forward.Series(order, route, evidence.ArmTo), forward.Series(order, route, evidence.ArmFrom)
 		return tallies{from: d.relay.Sum(from), to: d.relay.Sum(to), bad: d.relay.BadEndpoints(to)}
@@ -232,10 +237,10 @@
 
 // spans returns the evidence of the whole order and of its recent spans. The
 // last sample of the watch is the newest.
-func (d *Duty) spans(view *registry.State, order *catalog.Order, w *watch, route catalog.RouteName, now clock.Millis) []rollout.Span {
-	t := w.history[len(w.history)-1].routes[route]
-	all := release(view, order)
-	list := []rollout.Span{{From: t.from, To: t.to, Bad: len(t.bad), Reached: all}}
+func (d *Duty) spans(w *watch, route catalog.RouteName, now clock.Millis) []rollout.Span {
+	last := w.history[len(w.history)-1]
+	t := last.routes[route]
+	list := []rollout.Span{{From: t.from, To: t.to, Bad: len(t.bad), Reached: last.endpoints}}
 	for _, span := range []clock.Millis{shortSpan, longSpan} {
 		first := slices.IndexFunc(w.history, func(s sample) bool { return now-s.at <= span })
 		old := w.history[first].routes[route]
@@ -245,7 +250,7 @@
 				bad[endpoint] = true
 			}
 		}
-		s := rollout.Span{To: t.to.Minus(old.to), From: worse(t.from, t.from.Minus(old.from)), Bad: len(bad), Reached: all}
+		s := rollout.Span{To: t.to.Minus(old.to), From: worse(t.from, t.from.Minus(old.from)), Bad: len(bad), Reached: last.endpoints}
 		if route == forward.LoadRoute || route == forward.MovedRoute {
 			// What these count comes from the endpoints that are filled.
 			s.Reached = busy(w.history[first:], bad)
--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -259,11 +259,7 @@
 	if failed {
 		value = 1
 	}
-	usual := e.failing[route.Name]
-	if usual == nil {
-		usual = &placement.Average{Mean: assumedFailure, Count: assumedRuns}
-		e.failing[route.Name] = usual
-	}
+	usual := average(e.failing, route.Name, placement.Average{Mean: assumedFailure, Count: assumedRuns})
 	smooth(usual, value, usualFailureRuns)
 	if failed {
 		s.Fault(usual.Mean < rareFailure, e.clock.Mono())
@@ -315,11 +311,7 @@
 func (e *endpoints) delay(s *placement.State, key delayKey, span clock.Millis, usual bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	a := e.delays[key]
-	if a == nil {
-		a = &placement.Average{}
-		e.delays[key] = a
-	}
+	a := average(e.delays, key, placement.Average{})
 	slow := a.Count >= usualRuns && float64(span) > slowFactor*a.Mean+slowFloor
 	if a.Count >= usualRuns {
 		s.Delay.Add(float64(span) / max(1, a.Mean))
@@ -382,27 +374,31 @@
 	}
 }
 
+// average returns a key's mean; one that is not known yet begins as first.
+func average[K comparable](means map[K]*placement.Average, key K, first placement.Average) *placement.Average {
+	a := means[key]
+	if a == nil {
+		a = &first
+		means[key] = a
+	}
+	return a
+}
+
 // smooth moves a mean towards a value, by the weight of one of so many runs.
 func smooth(a *placement.Average, value float64, runs int) {
 	a.Count++
 	a.Mean += (value - a.Mean) / float64(min(a.Count, runs))
 }
 
-const (
-	// sizeRuns is how many runs that mean looks back on.
-	sizeRuns = 500
-)
+// sizeRuns is how many runs that mean looks back on.
+const sizeRuns = 500
 
 // note counts a request of a service.
 func (e *endpoints) note(service ticket.ServiceName, route catalog.RouteName, size int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.pool(service).retries.Note(e.clock.Mono())
-	a := e.sizes[route]
-	if a == nil {
-		a = &placement.Average{}
-		e.sizes[route] = a
-	}
+	a := average(e.sizes, route, placement.Average{})
 	smooth(a, float64(size), sizeRuns)
 }
 
--- a/entry/forward/releases.go
+++ b/entry/forward/releases.go
@@ -83,7 +83,7 @@
 	p := &progress{order: order, outcome: registry.OutcomeRunning, elapsed: r.clock.Mono() - order.Seen}
 	p.phase = rollout.PhaseAt(p.elapsed, order.Span)
 	status, ok := view.Statuses[service]
-	if ok && status.Target == order.Target && status.Outcome.Final() && (status.Order == 0 || status.Order == order.Number) {
+	if ok && status.SpeaksOf(order) && status.Outcome.Final() {
 		p.outcome = status.Outcome
 	} else if r.stopped(order.Number) {
 		p.outcome = registry.OutcomeRolledBack
--- a/entry/registry/record.go
+++ b/entry/registry/record.go
@@ -62,6 +62,12 @@
 	Outcome Outcome
 }
 
+// SpeaksOf reports whether the status is of the order; one without an order's
+// number counts by its target.
+func (s Status) SpeaksOf(order *catalog.Order) bool {
+	return s.Target == order.Target && (s.Order == 0 || s.Order == order.Number)
+}
+
 // Fact is what a record says; one field is set, or none for a record that says
 // nothing to this system.
 type Fact struct {
--- a/entry/relay/loads.go
+++ b/entry/relay/loads.go
@@ -30,6 +30,13 @@
 	number Edition
 }
 
+// cloned returns a copy that can be written to, also of a list that is nil.
+func cloned(counts map[routing.EndpointID]int) map[routing.EndpointID]int {
+	list := make(map[routing.EndpointID]int, len(counts))
+	maps.Copy(list, counts)
+	return list
+}
+
 // changes returns how counts differ from the list; an endpoint without requests
 // is told as 0. Small differences wait for the endpoint's turn.
 func (l *loads) changes(counts map[routing.EndpointID]int) map[routing.EndpointID]int {
@@ -72,10 +79,7 @@
 		p.told.apply(m.Loads)
 	} else {
 		m.Loads = counts
-		p.told.counts = maps.Clone(counts)
-		if p.told.counts == nil {
-			p.told.counts = map[routing.EndpointID]int{}
-		}
+		p.told.counts = cloned(counts)
 	}
 	p.told.of, p.told.number = of, m.LoadsAt
 }
@@ -89,10 +93,7 @@
 	case m.LoadsOf == "":
 		return false
 	case m.LoadsSince == 0:
-		l.counts = maps.Clone(m.Loads)
-		if l.counts == nil {
-			l.counts = map[routing.EndpointID]int{}
-		}
+		l.counts = cloned(m.Loads)
 	case m.LoadsSince == l.number && m.LoadsOf == l.of:
 		l.apply(m.Loads)
 	default:
@@ -121,8 +122,7 @@
 
 // sum adds what the chosen peers told lately; the caller holds the members' lock.
 func (r *Relay) sum(now clock.Millis, own map[routing.EndpointID]int, choose func(*peer) bool) map[routing.EndpointID]int {
-	total := make(map[routing.EndpointID]int, len(own))
-	maps.Copy(total, own)
+	total := cloned(own)
 	for _, p := range r.members.peers {
 		if p.heardLoads.of == WhoseOthers || now-p.heardLoads.at > loadSpan || !choose(p) {
 			continue
@@ -139,7 +139,7 @@
 // the members' lock.
 func (r *Relay) others(p *peer, now clock.Millis) map[routing.EndpointID]int {
 	if p.heardLoads.of == WhoseOthers {
-		return maps.Clone(p.heardLoads.counts)
+		return cloned(p.heardLoads.counts)
 	}
 	return r.sum(now, nil, func(*peer) bool { return true })
 }
