--- a/entry/forward/patience.go
+++ b/entry/forward/patience.go
@@ -38,10 +38,15 @@
 	if at := clock.Millis(r.eventAt.Load()); at > 0 {
 		since, patience, limit = at, t.gap(), clock.Millis(pauseGaps*float64(t.route.GapGoal))
 	}
-	if now-since >= limit {
-		return false
+	heard, waits := now-t.endpoints.lastHeard(r.state), false
+	if now-since < limit {
+		waits = heard < patience || t.parts.Sender.Alive(ctx, r.state.Endpoint)
 	}
-	return now-t.endpoints.lastHeard(r.state) < patience || t.parts.Sender.Alive(ctx, r.state.Endpoint)
+	if !waits {
+		t.logger.Info("silence", "request", t.request.ID, "endpoint", r.state.Endpoint.ID, "quiet-ms", int64(now-since),
+			"limit-ms", int64(limit), "heard-ms", int64(heard), "patience-ms", int64(patience), "begun", t.begun)
+	}
+	return waits
 }
 
 const (
