Keep the signals of an entry instance until it ends, too

A second SIGTERM or SIGINT during the drain, and SIGHUP at any time, ended the process with all answers under way.

Change: entry takes its signals from link/supervisor; SIGHUP is logged, since the settings are read at the start only.

No other program of the tree handles signals (grep for signal.Notify).

--- a/entry/main.go
+++ b/entry/main.go
@@ -9,6 +9,7 @@
 	"github.com/google/subcommands"
 
 	"foxtailbridge/link/settings"
+	"foxtailbridge/link/supervisor"
 )
 
 func main() {
@@ -51,7 +52,7 @@
 func (*runCommand) Name() string     { return "run" }
 func (*runCommand) Synopsis() string { return "run an entry instance until SIGTERM or SIGINT" }
 func (*runCommand) Usage() string {
-	return "run -settings FILE:\n  Run an entry instance. SIGTERM and SIGINT shut it down gracefully.\n"
+	return "run -settings FILE:\n  Run an entry instance. SIGTERM and SIGINT shut it down gracefully; SIGHUP is logged.\n"
 }
 
 func (c *runCommand) SetFlags(f *flag.FlagSet) {
@@ -59,12 +60,13 @@
 }
 
 func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	signals := supervisor.Catch()
 	s, err := settings.LoadEntry(c.settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
-	if err := serve(ctx, s); err != nil {
+	if err := serve(ctx, s, signals); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"net/http/pprof"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -18,6 +16,7 @@
 	"foxtailbridge/link/peer"
 	"foxtailbridge/link/platform"
 	"foxtailbridge/link/settings"
+	"foxtailbridge/link/supervisor"
 	"foxtailbridge/link/telemetry"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/gate"
@@ -33,7 +32,7 @@
 var errCut = errors.New("shutdown cut requests that were still running")
 
 // serve runs an instance until a signal asks it to stop.
-func serve(ctx context.Context, s *settings.Entry) error {
+func serve(ctx context.Context, s *settings.Entry, signals *supervisor.Signals) error {
 	logger := telemetry.NewLogger(s.Instance, s.LogLevel, os.Stderr)
 	metrics, metricsHandler, closer := telemetry.NewMetrics("foxtailbridge")
 	defer closer.Close()
@@ -57,7 +56,11 @@
 	defer stop()
 	go i.Run(background)
 	logger.Info("started", "zone", s.Zone, "caller", s.Listen.Caller, "peer", s.Listen.Peer, "admin", s.Listen.Admin)
-	waitForSignal(ctx)
+	go signals.Run(logger, func() { logger.Warn("not-reloaded", "why", "settings are read at the start only") })
+	select {
+	case <-signals.Stop():
+	case <-ctx.Done():
+	}
 	draining, cancel := context.WithTimeout(ctx, s.Drain.Duration())
 	defer cancel()
 	whole := i.Shutdown(draining)
@@ -68,16 +71,6 @@
 	return nil
 }
 
-func waitForSignal(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
-	select {
-	case <-signals:
-	case <-ctx.Done():
-	}
-}
-
 // outside connects the instance to the platform, the endpoints and the other instances.
 func outside(s *settings.Entry) instance.Outside {
 	peers := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerIdleConns}}
--- a/loadtest/processes/processes_test.go
+++ b/loadtest/processes/processes_test.go
@@ -121,6 +121,25 @@
 	})
 }
 
+// Guards against a signal that ends a serving or draining process, and with it the answers under way.
+func TestSignalsInSeries(t *testing.T) {
+	t.Parallel()
+	Convey("SIGHUP while serving, and any signal while draining, cuts no request", t, func() {
+		s, a, _, _ := pair(t)
+		first := make(chan *result, 1)
+		go func() { first <- s.stream(a, "a long answer", 300) }()
+		time.Sleep(200 * time.Millisecond)
+		for _, signal := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT} {
+			a.signal(signal)
+			time.Sleep(20 * time.Millisecond)
+		}
+		got := <-first
+		So(got.whole, ShouldBeTrue)
+		So(got.tokens, ShouldEqual, 300)
+		So(<-a.exited, ShouldBeNil)
+	})
+}
+
 // engineEvent is what an engine witnessed.
 type engineEvent struct {
 	Kind     string `json:"kind"`
