Drain callers' channels between two requests, and wait until answers have left

What callers could see: around a planned stop, a channel that ends without an answer though its request had arrived.

Cause: the drain watched a count that falls when a handler returns, before the HTTP server has flushed the answer, and that does not hold requests whose handler has not begun; then the process ended without waiting for http.Server.Shutdown. Shutdown itself drops requests: one whose head is complete only after it began is closed without an answer.

Change: link/socket follows each channel from the first byte of a request until its answer is flushed. An idle channel's reader is woken and decides: what has arrived is taken, else the channel is closed. The process ends when no channel is busy, or the grace time is over.

TestDrainWaitsForTheFlush has the count that was used at 0 while the answer is unsent.

--- /dev/null
+++ b/link/socket/channels_test.go
@@ -0,0 +1,238 @@
+package socket
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// fixture serves a handler over tracked channels on loopback.
+type fixture struct {
+	set    *Channels
+	server *http.Server
+	addr   string
+}
+
+func serve(t *testing.T, wrap func(net.Listener) net.Listener, handler http.HandlerFunc) *fixture {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{set: NewChannels(), addr: l.Addr().String()}
+	f.server = &http.Server{Handler: handler, ConnState: f.set.State}
+	tracked := f.set.Listener(wrap(l))
+	go func() { _ = f.server.Serve(tracked) }() // The test closes it.
+	t.Cleanup(func() { f.server.Close() })
+	return f
+}
+
+func plain(l net.Listener) net.Listener { return l }
+
+func (f *fixture) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+func ask(t *testing.T, conn net.Conn) {
+	t.Helper()
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answered reads one answer and reports whether it came whole.
+func answered(r *bufio.Reader) bool {
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil
+}
+
+// gated holds what a server writes or reads until it is told to go on.
+type gated struct {
+	net.Listener
+	writes, reads chan struct{}
+}
+
+func (g *gated) Accept() (net.Conn, error) {
+	conn, err := g.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConn{Conn: conn, gate: g}, nil
+}
+
+type gatedConn struct {
+	net.Conn
+	gate *gated
+}
+
+func (c *gatedConn) Write(p []byte) (int, error) {
+	if c.gate.writes != nil {
+		<-c.gate.writes
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *gatedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 1 && c.gate.reads != nil {
+		c.gate.reads <- struct{}{} // The bytes are read.
+		<-c.gate.reads
+	}
+	return n, err
+}
+
+// Guards against a process that ends after its handler returned but before the
+// answer has left.
+func TestDrainWaitsForTheFlush(t *testing.T) {
+	returned := make(chan bool, 1)
+	gate := &gated{writes: make(chan struct{})}
+	f := serve(t, func(l net.Listener) net.Listener { gate.Listener = l; return gate }, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "whole") // It stays in the server's buffer.
+		returned <- true
+	})
+	conn, reader := f.dial(t)
+	ask(t, conn)
+	<-returned
+	drained := make(chan int, 1)
+	go func() { drained <- f.set.Drain(context.Background()) }()
+	select {
+	case <-drained:
+		t.Fatal("the drain is over with an answer unsent")
+	case <-time.After(20 * time.Millisecond):
+	}
+	close(gate.writes)
+	if left := <-drained; left != 0 {
+		t.Errorf("%d requests left", left)
+	}
+	if !answered(reader) {
+		t.Error("the answer is not whole")
+	}
+}
+
+// Guards against a request that is read and whose channel is closed as idle.
+func TestARequestThatIsReadIsTaken(t *testing.T) {
+	gate := &gated{reads: make(chan struct{})}
+	f := serve(t, func(l net.Listener) net.Listener { gate.Listener = l; return gate }, func(http.ResponseWriter, *http.Request) {})
+	conn, reader := f.dial(t)
+	ask(t, conn)
+	<-gate.reads // The server has the request's bytes and does not know it yet.
+	drained := make(chan int, 1)
+	go func() { drained <- f.set.Drain(context.Background()) }()
+	time.Sleep(firstRequest + 20*time.Millisecond)
+	gate.reads <- struct{}{}
+	if left := <-drained; left != 0 || !answered(reader) {
+		t.Errorf("%d requests left, and no answer", left)
+	}
+}
+
+// Guards against a request that has arrived on a kept channel and is cut unread.
+func TestDrainTakesWhatHasArrived(t *testing.T) {
+	f := serve(t, plain, func(http.ResponseWriter, *http.Request) {})
+	conn, reader := f.dial(t)
+	ask(t, conn)
+	if !answered(reader) {
+		t.Fatal("no answer")
+	}
+	for f.set.Busy() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.set.mu.Lock() // Whoever reads now waits for the drain.
+	ask(t, conn)
+	time.Sleep(20 * time.Millisecond)
+	drained := make(chan int, 1)
+	go func() { drained <- f.set.Drain(context.Background()) }()
+	f.set.mu.Unlock()
+	if left := <-drained; left != 0 || !answered(reader) {
+		t.Errorf("%d requests left, and no answer", left)
+	}
+}
+
+// Guards against a request that is cut because only a part of its head was in when
+// the drain began; http.Server.Shutdown does that on new and on kept channels.
+func TestDrainTakesAHeadInParts(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		f := serve(t, plain, func(http.ResponseWriter, *http.Request) {})
+		conn, reader := f.dial(t)
+		if kept {
+			ask(t, conn)
+			if !answered(reader) {
+				t.Fatal("no answer")
+			}
+			for f.set.Busy() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHo"); err != nil {
+			t.Fatal(err)
+		}
+		for f.set.Busy() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		drained := make(chan int, 1)
+		go func() { drained <- f.set.Drain(context.Background()) }()
+		time.Sleep(20 * time.Millisecond)
+		if _, err := io.WriteString(conn, "st: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if !answered(reader) {
+			t.Errorf("no answer, kept %v", kept)
+		}
+		if left := <-drained; left != 0 {
+			t.Errorf("%d requests left", left)
+		}
+	}
+}
+
+func TestDrain(t *testing.T) {
+	hold, entered := make(chan struct{}), make(chan struct{})
+	f := serve(t, plain, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/" {
+			close(entered)
+			<-hold
+		}
+	})
+	idle, idleReader := f.dial(t)
+	if _, err := io.WriteString(idle, "GET /quick HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil || !answered(idleReader) {
+		t.Fatal("no answer", err)
+	}
+	busy, busyReader := f.dial(t)
+	ask(t, busy)
+	<-entered
+	for f.set.Busy() > 1 {
+		time.Sleep(time.Millisecond) // The answer is here, the server is about to know.
+	}
+	short, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	drained := make(chan int, 1)
+	go func() { drained <- f.set.Drain(short) }()
+	if _, err := idleReader.ReadByte(); err != io.EOF {
+		t.Errorf("the idle channel ends with %v", err)
+	}
+	if _, err := net.Dial("tcp", f.addr); err == nil {
+		t.Error("a new channel was taken")
+	}
+	if left := <-drained; left != 1 {
+		t.Errorf("%d requests left, want the one under way", left)
+	}
+	close(hold)
+	if !answered(busyReader) {
+		t.Error("the answer under way is not whole")
+	}
+	if _, err := busyReader.ReadByte(); err != io.EOF {
+		t.Errorf("the channel goes on after its answer: %v", err)
+	}
+}
