Guard what the duty test's fleet shares

The race detector reported 14 races in TestOutcomes and TestTheOneOnDutyDies: the fleet adds instances and sets the requests at endpoints while the instances that run already read both. The fault is the test's own; nothing that a caller sees depends on it. The maps are now read and written under the lock that guards the rest; what the test checks is the same.

go test -race -count=1 ./entry/duty: failed before, passes now.

--- a/entry/duty/duty_test.go
+++ b/entry/duty/duty_test.go
@@ -26,14 +26,16 @@
 
 // fleet is a few instances with duties over one topic of outcomes.
 type fleet struct {
+	relays []*relay.Relay
+	order  *catalog.Order
+
+	// mu guards what follows: the instances that run already read it while more are added.
 	mu       sync.Mutex
 	handlers map[string]http.Handler
 	dead     map[string]bool
 	stands   registry.Status
 	writes   int
-	relays   []*relay.Relay
-	order    *catalog.Order
-	// occupied counts the requests at the new release's endpoints.
+	// occupied counts the requests at the new release's endpoints; a map in it is not changed.
 	occupied map[routing.EndpointID]int
 }
 
@@ -88,7 +90,9 @@
 	path, handler := rel.Handler()
 	mux := http.NewServeMux()
 	mux.Handle(path, handler)
+	f.mu.Lock()
 	f.handlers[name] = mux
+	f.mu.Unlock()
 	f.relays = append(f.relays, rel)
 	r.Merge(registry.Batch{Feed: registry.FeedOrders, Head: 2, Records: []registry.Record{{Key: "config", Value: []byte("x")}, {Key: "order", Offset: 1, Value: []byte("x")}}})
 	var endpoints []registry.Record
@@ -113,7 +117,11 @@
 		return f.stands, nil
 	}
 	d.Stood = func(registry.Status) { rel.Urge() }
-	d.Occupied = func(ticket.ServiceName, catalog.Release) map[routing.EndpointID]int { return f.occupied }
+	d.Occupied = func(ticket.ServiceName, catalog.Release) map[routing.EndpointID]int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.occupied
+	}
 	go rel.Run(ctx)
 	go d.Run(ctx)
 }
@@ -135,6 +143,13 @@
 	}
 }
 
+// occupy sets the requests at the new release's endpoints.
+func (f *fleet) occupy(counts map[routing.EndpointID]int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.occupied = counts
+}
+
 func (f *fleet) outcome() (registry.Outcome, int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -174,7 +189,7 @@
 		}, registry.OutcomeRolledBack, 4 * time.Second},
 		{"one that fails under load is rolled back by the endpoint that was filled first", func(f *fleet) {
 			f.answer(60, true)
-			f.occupied = map[routing.EndpointID]int{"0": 40, "1": 5, "2": 4, "3": 2}
+			f.occupy(map[routing.EndpointID]int{"0": 40, "1": 5, "2": 4, "3": 2})
 			time.Sleep(10 * time.Second)
 			f.answerOn(forward.LoadRoute, 12, 1, true)
 			f.answerOn(forward.LoadRoute, 8, 1, false)
@@ -183,7 +198,7 @@
 		}, registry.OutcomeRolledBack, 2 * time.Second},
 		{"one sick endpoint of several that are filled is no bad release", func(f *fleet) {
 			f.answer(60, true)
-			f.occupied = map[routing.EndpointID]int{"0": 40, "1": 35, "2": 34, "3": 32}
+			f.occupy(map[routing.EndpointID]int{"0": 40, "1": 35, "2": 34, "3": 32})
 			time.Sleep(10 * time.Second)
 			f.answerOn(forward.LoadRoute, 30, 1, true)
 			f.answerOn(forward.LoadRoute, 6, 1, false)
