Keep the endpoint that a request was sent to, whatever its next entry says

A state of placement follows the view: when an endpoint writes a new entry, the next request of any caller replaces the state's Endpoint under the endpoints' lock (endpoints.sync). Requests under way read the same field without that lock, from Attempt to the line that ends them.

What callers would see: no request ends without an answer by this. But an endpoint that changes its release while it answers had the answer counted for the new release in the evidence of a roll-out, the caller's session pinned to that release, and a begun stream bound to it. The choice now says what the endpoint was when it was chosen, and the request keeps that.

TestEndpointChangesDuringAnAnswer and, under -race, TestEndpointsChangeUnderLoad failed before and pass now.

--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -26,7 +26,7 @@
 	}
 	if !t.begun {
 		t.begun = true
-		t.release = r.state.Endpoint.Release
+		t.release = r.endpoint.Release
 		t.weights = answer.Weights
 		t.reply.Begin(answer.Status, answer.Header)
 	}
@@ -56,7 +56,7 @@
 		return
 	}
 	p := t.releases.orderOf(t.parts.Registry.View(), t.service.Name)
-	t.releases.remember(t.request.Session, r.state.Endpoint.Release, ends, p)
+	t.releases.remember(t.request.Session, r.endpoint.Release, ends, p)
 }
 
 // errCaller marks a failed write to the caller.
@@ -91,7 +91,7 @@
 		if !r.slow && t.slowStream(r, now-began, events) {
 			// A long stream is counted now: its end is too late to stop a release.
 			r.slow = true
-			t.logger.Info("stream-slow", "request", t.request.ID, "endpoint", r.state.Endpoint.ID, "arm", t.arm, "model", r.key.model,
+			t.logger.Info("stream-slow", "request", t.request.ID, "endpoint", r.endpoint.ID, "arm", t.arm, "model", r.key.model,
 				"pace-ms", int64(now-began)/int64(max(1, events-1)), "usual-ms", int64(t.endpoints.pause(r.key.model)), "events", events)
 			r.rate(false)
 			t.comparePace(r, now-began, max(events, paceEvents))
--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -146,7 +146,7 @@
 	p := e.prepare(view, service, q)
 	choice := placement.Choose(p.states, q, e.random)
 	if choice.State != nil && !q.Begin(choice.State) {
-		choice.State, choice.Reason = nil, routing.ReasonCold
+		choice.State, choice.Endpoint, choice.Reason = nil, nil, routing.ReasonCold
 	}
 	return choice
 }
--- a/entry/forward/evidence.go
+++ b/entry/forward/evidence.go
@@ -46,13 +46,13 @@
 		return
 	}
 	arm := evidence.ArmFrom
-	if r.state.Endpoint.Release == p.order.Target {
+	if r.endpoint.Release == p.order.Target {
 		arm = evidence.ArmTo
 	}
 	series := Series(p.order, route, arm)
 	r.task.parts.Relay.Rate(series, good)
 	if !good && arm == evidence.ArmTo {
-		series.Endpoint = string(r.state.Endpoint.ID)
+		series.Endpoint = string(r.endpoint.ID)
 		r.task.parts.Relay.Rate(series, false)
 	}
 }
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -158,7 +158,7 @@
 		args = append(args, "config", t.view.Config.Revision, "view-age-ms", int64(t.parts.Registry.Age(registry.FeedOrders)))
 	}
 	if t.last != nil {
-		args = append(args, "endpoint", t.last.Endpoint.ID, "release", t.last.Endpoint.Release, "model", t.model, "runs", t.runs, "sends", t.sends, "unsent", t.unsent, "arm", t.arm)
+		args = append(args, "endpoint", t.last.ID, "release", t.last.Release, "model", t.model, "runs", t.runs, "sends", t.sends, "unsent", t.unsent, "arm", t.arm)
 	}
 	if t.firstAt > 0 {
 		args = append(args, "first-ms", int64(t.firstAt-t.request.Began), "pause-ms", int64(t.pause))
--- a/entry/forward/patience.go
+++ b/entry/forward/patience.go
@@ -9,10 +9,9 @@
 )
 
 func (t *task) outgoing(ctx context.Context, r *run) *Attempt {
-	s := r.state
 	left := t.deadline - t.clock.Mono()
 	a := &Attempt{
-		Request: t.request, Endpoint: s.Endpoint, Workspace: t.workspace, Rank: t.rank, Model: t.model,
+		Request: t.request, Endpoint: r.endpoint, Workspace: t.workspace, Rank: t.rank, Model: t.model,
 		Left: left, FirstBy: left, After: t.after, Weights: t.weights, Stream: t.route.Stream,
 		Gap: t.gap(), Once: !t.repeatable(),
 	}
@@ -41,7 +40,7 @@
 	if now-since >= limit {
 		return false
 	}
-	return now-t.endpoints.lastHeard(r.state) < patience || t.parts.Sender.Alive(ctx, r.state.Endpoint)
+	return now-t.endpoints.lastHeard(r.state) < patience || t.parts.Sender.Alive(ctx, r.endpoint)
 }
 
 const (
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -3,17 +3,21 @@
 import (
 	"sync/atomic"
 
+	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/placement"
 )
 
 // run is one attempt that reached an endpoint.
 type run struct {
-	task   *task
-	state  *placement.State
-	answer *Answer
-	key    delayKey
-	sentAt clock.Millis
+	task  *task
+	state *placement.State
+	// endpoint is what the view said of the state's endpoint when it was chosen; the
+	// state itself follows the view, under the endpoints' lock.
+	endpoint *catalog.Endpoint
+	answer   *Answer
+	key      delayKey
+	sentAt   clock.Millis
 	// reading is the weighed tokens that the endpoint has yet to read.
 	reading float64
 	ended   bool
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -40,8 +40,9 @@
 	// unsent counts attempts that cannot have reached an endpoint.
 	unsent int
 	// ran is true once any attempt may have run.
-	ran  bool
-	last *placement.State
+	ran bool
+	// last is the endpoint of the last attempt.
+	last *catalog.Endpoint
 	// release and weights bind a begun stream.
 	release catalog.Release
 	weights string
@@ -88,7 +89,7 @@
 		if choice.State == nil {
 			return t.unplaced(choice)
 		}
-		end, answer := t.attempt(ctx, choice.State)
+		end, answer := t.attempt(ctx, choice)
 		if result, done := t.follow(ctx, end, answer); done {
 			return result
 		}
@@ -210,9 +211,10 @@
 }
 
 // attempt sends the request to one endpoint and reads the answer's head.
-func (t *task) attempt(ctx context.Context, s *placement.State) (attempt.End, *run) {
-	r := &run{task: t, state: s, reading: t.effort() * float64(placement.Tokens(t.request.Parts)), sentAt: t.clock.Mono(), key: delayKey{t.route.Name, t.model}}
-	t.last = s
+func (t *task) attempt(ctx context.Context, choice placement.Choice) (attempt.End, *run) {
+	s := choice.State
+	r := &run{task: t, state: s, endpoint: choice.Endpoint, reading: t.effort() * float64(placement.Tokens(t.request.Parts)), sentAt: t.clock.Mono(), key: delayKey{t.route.Name, t.model}}
+	t.last = r.endpoint
 	t.sends++
 	t.tried = append(t.tried, s)
 	answer, err := t.parts.Sender.Send(ctx, t.outgoing(ctx, r))
@@ -259,7 +261,7 @@
 // broken fills in the end of an attempt that brought no answer.
 func (t *task) broken(ctx context.Context, r *run, end *attempt.End, err error) {
 	kind := fault.KindOf[Kind](err)
-	t.logger.Info("attempt-broken", "request", t.request.ID, "endpoint", r.state.Endpoint.ID, "kind", kind,
+	t.logger.Info("attempt-broken", "request", t.request.ID, "endpoint", r.endpoint.ID, "kind", kind,
 		"ms", int64(t.clock.Mono()-r.sentAt), "error", err)
 	switch kind {
 	case KindNotSent:
@@ -299,7 +301,7 @@
 // suspect if its endpoint died before the answer began. Endpoints that ended do
 // not count for the attempts of a request.
 func (t *task) alive(ctx context.Context, r *run) bool {
-	e := r.state.Endpoint
+	e := r.endpoint
 	if t.parts.Sender.Alive(context.WithoutCancel(ctx), e) {
 		return true
 	}
@@ -341,7 +343,7 @@
 	case attempt.StepEscalate:
 		r.rate(false)
 		r.close()
-		t.logger.Info("escalate", "request", t.request.ID, "endpoint", r.state.Endpoint.ID, "model", t.model, "confidence", r.answer.Confidence)
+		t.logger.Info("escalate", "request", t.request.ID, "endpoint", r.endpoint.ID, "model", t.model, "confidence", r.answer.Confidence)
 		t.model = t.route.Ladder[len(t.route.Ladder)-1]
 		t.tried = nil
 		t.endpoints.takeRetry(t.service.Name)
@@ -351,7 +353,7 @@
 			t.endpoints.takeRetry(t.service.Name)
 		}
 		t.parts.Scope.Counter(string(step)).Inc(1)
-		t.logger.Info(string(step), "request", t.request.ID, "endpoint", r.state.Endpoint.ID, "result", end.Result, "sent", end.Sent,
+		t.logger.Info(string(step), "request", t.request.ID, "endpoint", r.endpoint.ID, "result", end.Result, "sent", end.Sent,
 			"after", t.after, "runs", t.runs)
 		return Result{}, false
 	case attempt.StepRefuse:
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -42,8 +42,10 @@
 
 // Choice is the outcome of a query.
 type Choice struct {
-	State  *State
-	Reason routing.Reason
+	State *State
+	// Endpoint is what State held of its endpoint then, or nil without a State.
+	Endpoint *catalog.Endpoint
+	Reason   routing.Reason
 	// Cost is the estimated delay of the choice in milliseconds.
 	Cost float64
 	// Considered counts the endpoints that were accepted.
@@ -128,6 +130,9 @@
 	if packed != nil {
 		best.State, best.Reason = packed, ReasonPacked
 	}
+	if best.State != nil {
+		best.Endpoint = best.State.Endpoint
+	}
 	return best
 }
 
