Have the race detector watch the soaks' processes too

Under go test -race, the soak and the tests with processes watched only themselves: the programs that they build and start were built without the detector. They are now built with it, and a report in a process's log fails the test. Without -race nothing changes.

--- /dev/null
+++ b/loadtest/processes/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package processes
+
+const raced = false
--- a/loadtest/processes/stack_test.go
+++ b/loadtest/processes/stack_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,7 +31,7 @@
 		panic(err)
 	}
 	binaries = dir
-	build := exec.Command("go", "build", "-o", dir, "foxtailbridge/entry", "foxtailbridge/standin")
+	build := exec.Command("go", "build", "-race="+strconv.FormatBool(raced), "-o", dir, "foxtailbridge/entry", "foxtailbridge/standin")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "build:", err)
@@ -133,8 +134,14 @@
 	s.t.Cleanup(func() {
 		p.signal(syscall.SIGKILL)
 		output.Close()
+		data, err := os.ReadFile(output.Name())
+		if err != nil {
+			s.t.Error(err)
+		}
+		if at := bytes.Index(data, []byte("WARNING: DATA RACE")); at >= 0 {
+			s.t.Errorf("%s: %.2000s", name, data[at:])
+		}
 		if s.t.Failed() {
-			data, _ := os.ReadFile(output.Name())
 			s.t.Logf("%s:\n%s", name, tail(data))
 		}
 	})
