--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs the linters and all tests, passing over just what KNOWN-RED.txt lists.
+# Runs the linters and all tests, then those of the packages with goroutines under
+# the race detector, passing over just what KNOWN-RED.txt lists.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/lint.sh
@@ -9,3 +10,5 @@
 	cat KNOWN-RED.txt
 fi
 go test ${red:+-skip "^($red)\$"} -count=1 work
+# loadtest/experiment and policy are left out: no goroutines meet there.
+go test -race ${red:+-skip "^($red)\$"} -count=1 ./entry/... ./link/... ./platform/... ./operator/... ./standin/... ./loadtest ./loadtest/load ./loadtest/processes
