--- a/entry/forward/patience.go
+++ b/entry/forward/patience.go
@@ -9,10 +9,9 @@
 )
 
 func (t *task) outgoing(ctx context.Context, r *run) *Attempt {
-	s := r.state
 	left := t.deadline - t.clock.Mono()
 	a := &Attempt{
-		Request: t.request, Endpoint: s.Endpoint, Workspace: t.workspace, Rank: t.rank, Model: t.model,
+		Request: t.request, Endpoint: r.endpoint, Workspace: t.workspace, Rank: t.rank, Model: t.model,
 		Left: left, FirstBy: left, After: t.after, Weights: t.weights, Stream: t.route.Stream,
 		Gap: t.gap(), Once: !t.repeatable(),
 	}
@@ -40,10 +39,10 @@
 	}
 	heard, waits := now-t.endpoints.lastHeard(r.state), false
 	if now-since < limit {
-		waits = heard < patience || t.parts.Sender.Alive(ctx, r.state.Endpoint)
+		waits = heard < patience || t.parts.Sender.Alive(ctx, r.endpoint)
 	}
 	if !waits {
-		t.logger.Info("silence", "request", t.request.ID, "endpoint", r.state.Endpoint.ID, "quiet-ms", int64(now-since),
+		t.logger.Info("silence", "request", t.request.ID, "endpoint", r.endpoint.ID, "quiet-ms", int64(now-since),
 			"limit-ms", int64(limit), "heard-ms", int64(heard), "patience-ms", int64(patience), "begun", t.begun)
 	}
 	return waits
