Cut a stream that goes on beyond the tokens that were asked for

Callers would see: events with increasing ids for as long as a replica makes them, and then, if it broke, a resume behind the last of them at another replica, which has nothing left to send: all of it ends as a whole answer.

Cause: nothing compared a stream with its request. It is never resumed, as its ids are as wrong as its events: the caller's channel is cut, and the replica's failure counted.

TestStreams before: "events "1;2;", cut false, models small small, went on behind "2"".

--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -7,6 +7,7 @@
 
 	"foxtailbridge/policy/attempt"
 	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/fault"
 )
 
 // deliver hands an answer to the caller; a stream that breaks may go on elsewhere.
@@ -44,7 +45,8 @@
 	if ctx.Err() != nil || errors.Is(err, errCaller) {
 		return Result{Reason: ReasonGone, Own: true, Cut: true}, true
 	}
-	end := attempt.End{Sent: attempt.SentSome, Repeatable: t.repeatable(), Resumable: t.route.Resumable, Begun: true, RanBefore: true}
+	resumable := t.route.Resumable && fault.KindOf[Kind](err) != KindOverrun
+	end := attempt.End{Sent: attempt.SentSome, Repeatable: t.repeatable(), Resumable: resumable, Begun: true, RanBefore: true}
 	t.runs-- // broken counts it again
 	t.broken(ctx, r, &end, err)
 	return t.follow(ctx, end, r)
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -283,6 +283,12 @@
 			}
 			return stream(5, io.EOF, "3"), nil
 		}, "1;2;3;", false, "small small", "2"},
+		{"a stream beyond what was asked for is cut: behind its ids all would look whole", func(n int, _ *Attempt) (*Answer, error) {
+			if n == 1 {
+				return stream(90, failure(KindOverrun), "1", "2"), nil
+			}
+			return stream(90, io.EOF), nil
+		}, "1;2;", true, "small", ""},
 		{"a stream that cannot go on is cut, never ended as whole", func(n int, _ *Attempt) (*Answer, error) {
 			if n == 1 {
 				return stream(90, failure(KindBroken), "1"), nil
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -73,6 +73,9 @@
 	KindNotSent Kind = "not-sent"
 	// KindBroken means that the channel ended or carried no proper answer.
 	KindBroken Kind = "broken"
+	// KindOverrun means that a stream held more than was asked for: what came of
+	// it is no answer, and its ids lead nowhere.
+	KindOverrun Kind = "overrun"
 	// KindSilent means that nothing came in time.
 	KindSilent Kind = "silent"
 	// KindCanceled means that the caller went away.
