--- a/link/socket/socket.go
+++ b/link/socket/socket.go
@@ -21,6 +21,9 @@
 	idleTimeout = 5 * time.Second
 	// idlePerHost bounds the idle channels to one host.
 	idlePerHost = 2
+	// MaxHead bounds an answer's head in bytes; those of the store and of our own
+	// processes have some 200, and net/http's own bound is 10 MB.
+	MaxHead = 32 << 10
 )
 
 // Dialer returns a dialer with a bound on connecting, whose channels break when
@@ -54,10 +57,11 @@
 // Client returns an HTTP client over such channels.
 func Client(dialTimeout time.Duration) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         Dialer(dialTimeout).DialContext,
-		MaxIdleConnsPerHost: idlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            Dialer(dialTimeout).DialContext,
+		MaxIdleConnsPerHost:    idlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: MaxHead,
 	}}
 }
 
