Bound a message between instances on both sides

An instance would see: a message without end is read as far as it comes, by the one that is asked until the other closes, by the one that asks for 0.6 s.

Cause: the exchange had no bound (the product's other peer protocol has). Now 4 MB hold for what is read and for what it is unpacked to. Connect's own bound alone does not end it: what lies beyond is read to its end and thrown away (measured: 64 of 64 MB read), so both sides also end the body there.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -37,6 +37,10 @@
 	retryPause = clock.Second
 	// lonelySpan is the age of the view from which peers anywhere are asked.
 	lonelySpan = 1200 * clock.Millis(1)
+	// maxMessage bounds a message in bytes: the store's largest record four times
+	// over as a configuration, and some thousand endpoints with 300 bytes each, all
+	// in base64, are half of it.
+	maxMessage = 4 << 20
 )
 
 // Parts are the parts of an instance that the relay passes on.
@@ -102,7 +106,23 @@
 
 // Handler serves the exchange.
 func (r *Relay) Handler() (string, http.Handler) {
-	return procedure, connect.NewUnaryHandler(procedure, r.serve, connect.WithCodec(codec{}))
+	handler := connect.NewUnaryHandler(procedure, r.serve, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessage))
+	return procedure, http.MaxBytesHandler(handler, maxMessage)
+}
+
+// bounded ends an answer at a bound; connect alone reads what lies beyond to its end.
+type bounded struct {
+	client connect.HTTPClient
+}
+
+// Do sends a request.
+func (b bounded) Do(request *http.Request) (*http.Response, error) {
+	response, err := b.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, maxMessage)
+	return response, nil
 }
 
 func (r *Relay) serve(_ context.Context, request *connect.Request[Message]) (*connect.Response[Message], error) {
@@ -204,7 +224,7 @@
 	r.mu.Lock()
 	client := r.clients[address]
 	if client == nil {
-		client = connect.NewClient[Message, Message](r.parts.Client, "http://"+address+procedure, connect.WithCodec(codec{}))
+		client = connect.NewClient[Message, Message](bounded{r.parts.Client}, "http://"+address+procedure, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessage))
 		r.clients[address] = client
 	}
 	r.mu.Unlock()
