Bound the heads of endpoints and their reports

An instance would see: an endpoint whose report goes on without end, in its head or its body, is read for a second at each new connection; any other head up to net/http's 10 MB, in which some 70 MB are allocated on the way.

Cause: the probe of a new connection read head and body without a bound. Now heads have 32 KB, reports 256 KB, and bytes behind a report end the connection before a request is sent on it.

Evidence (TestEndless, an endpoint that writes 64 MB; before): a probe's head 503 MB, its body 256 MB, not closed while it wrote; the heads of a stream, a call and a report 70 MB each. After: under 8 MB with the test's server, closed in all rows.

Ruled out: a report asked for by itself; its body was bounded (row passes before).

--- a/link/endpoint/dial.go
+++ b/link/endpoint/dial.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -60,7 +62,8 @@
 	if err := request.Write(conn); err != nil {
 		return nil, err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	reader := bufio.NewReader(io.LimitReader(conn, maxHead+maxReportBytes))
+	response, err := http.ReadResponse(reader, request)
 	if err != nil {
 		return nil, err
 	}
@@ -69,8 +72,15 @@
 		return nil, fmt.Errorf("report has status %d", response.StatusCode)
 	}
 	load := new(Load)
-	if err := json.NewDecoder(response.Body).Decode(load); err != nil {
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(body, load); err != nil {
 		return nil, err
 	}
+	if reader.Buffered() > 0 {
+		return nil, errors.New("bytes follow the report")
+	}
 	return load, conn.SetDeadline(time.Time{})
 }
--- a/link/endpoint/endpoint.go
+++ b/link/endpoint/endpoint.go
@@ -98,8 +98,6 @@
 	Hold  []ticket.VersionRef `json:"hold"`
 }
 
-const maxReportBytes = 1 << 20
-
 // getJSON decodes the JSON answer of a GET.
 func getJSON(ctx context.Context, client *http.Client, call *sling.Sling, into any) error {
 	request, err := call.Request()
@@ -169,7 +167,7 @@
 func New(baseURL string, opts ...Option) *Endpoint {
 	o := newOptions(opts)
 	work := &http.Client{Transport: o.workTransport()}
-	reports := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	reports := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHead}}
 	base := sling.New().Base(baseURL)
 	return &Endpoint{
 		Load: func(ctx context.Context) (*Load, error) {
--- a/link/endpoint/options.go
+++ b/link/endpoint/options.go
@@ -56,10 +56,11 @@
 
 func (o *options) workTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         o.dialProbed,
-		MaxIdleConns:        maxIdleConns,
-		MaxIdleConnsPerHost: maxIdleConnsHost,
-		DisableCompression:  true,
+		DialContext:            o.dialProbed,
+		MaxIdleConns:           maxIdleConns,
+		MaxIdleConnsPerHost:    maxIdleConnsHost,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHead,
 	}
 }
 
