End an engine's stream that has no end: without text, or beyond what was asked for

Callers would see: a chat stream that stands still while its engine sends events without text, for ever, as each began the wait of 10 s anew; or one that goes on beyond max_tokens for as long as the engine writes, its text kept in memory. If that engine broke, another one resumed behind the last token, had nothing left to send, and all of it ended as a whole answer with a bill.

Cause: the idle timer is the only end of a stream, the text is kept without a bound, and neither the number of tokens nor the bytes between them were compared with anything; behind the final marker the connection was read to its end.

An overrun is never resumed.

The stand-in engine has both faults (endless, overrun).

--- a/entry/promises/answer_test.go
+++ b/entry/promises/answer_test.go
@@ -51,6 +51,8 @@
 		{"stream cut in the middle", engine.Faults{TruncateAt: 1, TruncateAfter: 4}},
 		{"stream cut before the last token", engine.Faults{TruncateAt: 1, TruncateAfter: 7}},
 		{"stream cut twice", engine.Faults{TruncateAt: 2, TruncateAfter: 3}},
+		{"stream without end before the first token", engine.Faults{Endless: 1, TruncateAfter: 0}},
+		{"stream without end in the middle", engine.Faults{Endless: 1, TruncateAfter: 4}},
 		{"answer of another attempt", engine.Faults{Cross: 1}},
 		{"two answers of other attempts", engine.Faults{Cross: 2}},
 		{"late answer", engine.Faults{Late: 3000}},
@@ -93,6 +95,16 @@
 		w.settle(time.Minute)
 		So(w.fold().Bills(), ShouldBeEmpty)
 	})
+	inWorld(t, "a stream beyond the tokens asked for is an explicit error, however whole it would look elsewhere", instance.Options{}, func(w *world) {
+		a, _ := w.small()
+		w.engines["engine-a"].SetFaults(engine.Faults{Overrun: 1})
+		w.engines["engine-b"].SetFaults(engine.Faults{Overrun: 1})
+		got := a.stream("small", "where is the tray")
+		So(got.outcome, ShouldEqual, claim.StateUnknown)
+		So(got.body, ShouldNotContainSubstring, chat.Done)
+		w.settle(time.Minute)
+		So(w.fold().Bills(), ShouldBeEmpty)
+	})
 	inWorld(t, "answers that come at the same time are not mixed up", instance.Options{}, func(w *world) {
 		a, b := w.small()
 		want := map[int]string{}
--- a/entry/router/attempts.go
+++ b/entry/router/attempts.go
@@ -99,6 +99,8 @@
 	switch {
 	case kind == endpoint.KindCanceled:
 		return a.canceled(ctx)
+	case kind == endpoint.KindOverrun:
+		return a.giveUp(ctx, err, "no answer")
 	case r.parts.Learner.Verdict(a.job.digest) == quarantine.VerdictQuarantined:
 		return a.job.quarantined()
 	}
@@ -291,6 +293,9 @@
 	}
 	r.Reached(StepDispatched, a.job.ID)
 	request := &endpoint.StreamRequest{Body: body, ResumeAt: a.received}
+	if a.job.Body.Bounded {
+		request.MaxTokens = a.job.Body.MaxTokens
+	}
 	end, err := d.Endpoint.Stream(ctx, attempt, request, a.emit)
 	r.parts.Pool.End(d, err)
 	if err == nil {
--- a/link/chat/chat.go
+++ b/link/chat/chat.go
@@ -48,6 +48,8 @@
 	Messages  []Message
 	Stream    bool
 	MaxTokens int
+	// Bounded is true if the request names the number of tokens itself.
+	Bounded bool
 	// IncludeUsage asks for a usage chunk before the end of a stream.
 	IncludeUsage bool
 	raw          map[string]json.RawMessage
@@ -95,7 +97,7 @@
 	}
 	for _, bound := range []*int{fields.MaxTokens, fields.MaxCompletionTokens} {
 		if bound != nil {
-			r.MaxTokens = *bound
+			r.MaxTokens, r.Bounded = *bound, true
 		}
 	}
 	var options streamOptions
--- a/link/endpoint/endless_test.go
+++ b/link/endpoint/endless_test.go
@@ -64,10 +64,17 @@
 // TestEndless guards against an endpoint whose answer has no end: it was read, and
 // its text kept, for as long as it came.
 func TestEndless(t *testing.T) {
-	stream := func(e *Endpoint) error {
-		_, err := e.Stream(context.Background(), &Attempt{ID: "1"}, &StreamRequest{Body: []byte("{}")}, func(string) error { return nil })
+	const empty = `data: {"choices":[]}` + "\n\n"
+	token := "data: " + tokenA + "\n\n"
+	// A test need not parse a million tokens: these have a KB of text each.
+	long := strings.Replace(token, `"a"`, `"`+strings.Repeat("a", 1<<10)+`"`, 1)
+	whole := "data: " + tokenA + "\n\ndata: " + tokenB + "\n\ndata: " + usage2 + "\n\ndata: " + marker + "\n\n"
+	stream := func(e *Endpoint, most int) error {
+		_, err := e.Stream(context.Background(), &Attempt{ID: "1"}, &StreamRequest{Body: []byte("{}"), MaxTokens: most}, func(string) error { return nil })
 		return err
 	}
+	named := func(e *Endpoint) error { return stream(e, 100) }
+	unnamed := func(e *Endpoint) error { return stream(e, 0) }
 	call := func(e *Endpoint) error {
 		_, err := e.Call(context.Background(), &Attempt{ID: "1"}, &CallRequest{Call: "x"})
 		return err
@@ -82,7 +89,13 @@
 		send  func(e *Endpoint) error
 		kind  Kind
 	}{
-		{"a stream's head", &flood{head: true, begin: "HTTP/1.1 200 OK\r\nX: ", piece: "x"}, stream, KindBroken},
+		{"events without text", &flood{piece: empty}, unnamed, KindFailed},
+		{"comments", &flood{begin: token, piece: ": x\n\n"}, unnamed, KindFailed},
+		{"one event", &flood{begin: "data: ", piece: "x"}, unnamed, KindFailed},
+		{"more tokens than asked for", &flood{piece: token}, named, KindOverrun},
+		{"tokens without end", &flood{piece: long}, unnamed, KindOverrun},
+		{"bytes behind a whole answer", &flood{begin: whole, piece: "x"}, unnamed, ""},
+		{"a stream's head", &flood{head: true, begin: "HTTP/1.1 200 OK\r\nX: ", piece: "x"}, unnamed, KindBroken},
 		{"a call's head", &flood{head: true, begin: "HTTP/1.1 200 OK\r\nX: ", piece: "x"}, call, KindBroken},
 		{"a probe's head", &flood{report: true, head: true, begin: "HTTP/1.1 200 OK\r\nX: ", piece: "x"}, call, KindNotSent},
 		{"a probe's body", &flood{report: true, begin: `{"boot-id":"`, piece: "x"}, call, KindNotSent},
--- a/link/endpoint/endpoint.go
+++ b/link/endpoint/endpoint.go
@@ -32,8 +32,12 @@
 	KindIncomplete Kind = "incomplete"
 	// KindCanceled means that the caller's context ended the attempt.
 	KindCanceled Kind = "canceled"
-	// KindFailed means that the endpoint ran the request and reports a failure.
+	// KindFailed means that the endpoint ran the request and reports a failure, or
+	// sends without end what is no answer.
 	KindFailed Kind = "failed"
+	// KindOverrun means that a stream held more than was asked for: what came of it
+	// is no answer, so nothing may go on behind it.
+	KindOverrun Kind = "overrun"
 )
 
 // Error is the error type of this package.
--- a/link/endpoint/stream.go
+++ b/link/endpoint/stream.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -23,6 +24,8 @@
 	Body []byte
 	// ResumeAt is the number of tokens that were received before, 0 to begin.
 	ResumeAt int
+	// MaxTokens is the largest number of tokens that were asked for, 0 if none was named.
+	MaxTokens int
 }
 
 // StreamEnd is the end of a whole answer.
@@ -32,8 +35,6 @@
 	CompletionTokens int
 }
 
-const maxEventBytes = 1 << 20
-
 var errIdle = errors.New("no event within the idle timeout")
 
 // stream carries one streamed attempt.
@@ -43,8 +44,11 @@
 	options *options
 	attempt *Attempt
 	request *StreamRequest
+	body    *progress
 	chunks  int
-	end     *StreamEnd
+	// text is the length of the answer so far in bytes.
+	text int
+	end  *StreamEnd
 }
 
 func (s *stream) run(parent context.Context, emit func(string) error) (*StreamEnd, error) {
@@ -64,7 +68,8 @@
 	if err := s.checkAnswer(response); err != nil {
 		return nil, err
 	}
-	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+	s.body = &progress{reader: response.Body, left: maxSilentBytes}
+	for event, err := range sse.Read(s.body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return nil, s.readError(parent, ctx, err)
 		}
@@ -74,6 +79,7 @@
 			return nil, err
 		}
 		if done {
+			idle.Reset(drainWait.Duration())
 			return s.finish(response.Body)
 		}
 	}
@@ -127,6 +133,8 @@
 		return fault.New("stream", KindCanceled, "%w", context.Cause(parent))
 	case context.Cause(ctx) == errIdle:
 		return fault.New("stream", KindBroken, "%w", errIdle)
+	case errors.Is(err, errEndless), errors.Is(err, bufio.ErrTooLong):
+		return fault.New("stream", KindFailed, "%w", err)
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
 		return fault.New("stream", KindIncomplete, "%w", err)
 	}
@@ -150,6 +158,11 @@
 			continue
 		}
 		s.chunks++
+		s.text += len(choice.Delta.Content)
+		if s.overruns() {
+			return false, fault.New("stream", KindOverrun, "more text than was asked for, or than %d bytes", maxText)
+		}
+		s.body.made()
 		if err := emit(choice.Delta.Content); err != nil {
 			return false, fault.New("stream", KindCanceled, "emit: %w", err)
 		}
@@ -157,6 +170,15 @@
 	return false, nil
 }
 
+// overruns reports whether the answer is longer than was asked for. Without a number
+// of tokens its text is bounded, which is kept to the end.
+func (s *stream) overruns() bool {
+	if s.request.MaxTokens > 0 && s.request.ResumeAt+s.chunks > s.request.MaxTokens {
+		return true
+	}
+	return s.text > maxText
+}
+
 // finish checks the counts and reads to the end, so that the connection can be reused.
 func (s *stream) finish(body io.Reader) (*StreamEnd, error) {
 	if s.end == nil {
@@ -165,6 +187,6 @@
 	if got := s.request.ResumeAt + s.chunks; got != s.end.CompletionTokens {
 		return nil, fault.New("stream", KindIncomplete, "got %d of %d tokens", got, s.end.CompletionTokens)
 	}
-	_, _ = io.Copy(io.Discard, body)
+	_, _ = io.CopyN(io.Discard, body, drainBytes) // What is left closes the connection.
 	return s.end, nil
 }
--- a/standin/engine/client.go
+++ b/standin/engine/client.go
@@ -61,6 +61,10 @@
 		return end, nil
 	case errors.Is(err, errTruncate):
 		return nil, fault.New("stream", endpoint.KindIncomplete, "%w", err)
+	case errors.Is(err, errEndless):
+		return nil, fault.New("stream", endpoint.KindFailed, "%w", err)
+	case errors.Is(err, errOverrun):
+		return nil, fault.New("stream", endpoint.KindOverrun, "%w", err)
 	case ctx.Err() != nil:
 		return nil, fault.New("stream", endpoint.KindCanceled, "%w", err)
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -45,6 +45,10 @@
 	// TruncateAt ends that many next streams after TruncateAfter tokens.
 	TruncateAt    int `json:"truncate"`
 	TruncateAfter int `json:"truncate-after"`
+	// Endless makes that many next streams go on without text and without end
+	// after TruncateAfter tokens, Overrun with tokens beyond those asked for.
+	Endless int `json:"endless"`
+	Overrun int `json:"overrun"`
 	// Cross answers that many next requests as if for another attempt.
 	Cross int `json:"cross"`
 	// Leaving makes the engine report that it leaves.
@@ -85,6 +89,8 @@
 	errCrashed  = errors.New("engine crashed")
 	errRefused  = errors.New("engine refuses")
 	errTruncate = errors.New("stream cut short")
+	errEndless  = errors.New("stream without end and text")
+	errOverrun  = errors.New("stream without end")
 )
 
 // Engine runs chat completions with made-up answers that depend only on the prompt.
@@ -248,8 +254,11 @@
 	faults Faults
 	cross  bool
 	cut    bool
-	warm   bool
-	cached bool
+	// endless and overrun are as in Faults.
+	endless bool
+	overrun bool
+	warm    bool
+	cached  bool
 }
 
 // enter counts a request in, and crashes the engine if it bears no more or is poisoned.
@@ -269,6 +278,14 @@
 		e.faults.TruncateAt--
 		s.cut = true
 	}
+	if e.faults.Endless > 0 {
+		e.faults.Endless--
+		s.endless = true
+	}
+	if e.faults.Overrun > 0 {
+		e.faults.Overrun--
+		s.overrun = true
+	}
 	e.inFlight++
 	e.record(Event{
 		Kind: EventStart, Workspace: j.attempt.Workspace, Request: j.attempt.Request,
@@ -342,6 +359,9 @@
 		if s.cut && i >= s.faults.TruncateAfter {
 			return nil, errTruncate
 		}
+		if s.endless && i >= s.faults.TruncateAfter {
+			return nil, errEndless
+		}
 		if i > j.resumeAt {
 			if err := e.pause(ctx, s, e.config.Token); err != nil {
 				return nil, err
@@ -351,6 +371,9 @@
 			return nil, err
 		}
 	}
+	if s.overrun {
+		return nil, errOverrun
+	}
 	whole = true
 	const bytesPerToken = 4
 	return &endpoint.StreamEnd{PromptTokens: 1 + len(j.text)/bytesPerToken, CompletionTokens: len(tokens)}, nil
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -75,6 +76,12 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	out := eventWriter{w: w, flush: http.NewResponseController(w).Flush, model: string(e.config.Version), id: string(attempt.ID)}
 	end, err := e.run(r.Context(), j, s, out.text)
+	switch {
+	case errors.Is(err, errEndless):
+		out.flood(func() error { return out.raw(": busy\n\n") })
+	case errors.Is(err, errOverrun):
+		out.flood(func() error { return out.text(words[0] + " ") })
+	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -109,12 +116,22 @@
 	if err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(o.w, "data: %s\n\n", data); err != nil {
+	return o.raw(fmt.Sprintf("data: %s\n\n", data))
+}
+
+func (o *eventWriter) raw(text string) error {
+	if _, err := io.WriteString(o.w, text); err != nil {
 		return err
 	}
 	return o.flush()
 }
 
+// flood writes until the caller closes.
+func (o *eventWriter) flood(write func() error) {
+	for write() == nil {
+	}
+}
+
 func (o *eventWriter) text(text string) error {
 	return o.write(&chat.Chunk{Choices: []chat.ChunkChoice{{Delta: chat.Delta{Content: text}}}})
 }
