End a message between instances at its bound in the product's own protocol too

An instance would see: a message beyond 16 MB is refused, but read to its end first: connect reads what lies beyond its bound to use the connection again.

Evidence (TestEndlessMessage of link/peer): before, 128 of 128 MB read on either side; after, 32 MB at most. The client that ends an answer stands in link/socket now, and the relay uses it.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"foxtailbridge/entry/registry"
+	"foxtailbridge/link/socket"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
@@ -110,21 +111,6 @@
 	return procedure, http.MaxBytesHandler(handler, maxMessage)
 }
 
-// bounded ends an answer at a bound; connect alone reads what lies beyond to its end.
-type bounded struct {
-	client connect.HTTPClient
-}
-
-// Do sends a request.
-func (b bounded) Do(request *http.Request) (*http.Response, error) {
-	response, err := b.client.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	response.Body = http.MaxBytesReader(nil, response.Body, maxMessage)
-	return response, nil
-}
-
 func (r *Relay) serve(_ context.Context, request *connect.Request[Message]) (*connect.Response[Message], error) {
 	now := r.parts.Clock.Mono()
 	r.take(request.Msg, now)
@@ -224,7 +210,7 @@
 	r.mu.Lock()
 	client := r.clients[address]
 	if client == nil {
-		client = connect.NewClient[Message, Message](bounded{r.parts.Client}, "http://"+address+procedure, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessage))
+		client = connect.NewClient[Message, Message](socket.Bound(r.parts.Client, maxMessage), "http://"+address+procedure, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessage))
 		r.clients[address] = client
 	}
 	r.mu.Unlock()
--- a/link/peer/peer.go
+++ b/link/peer/peer.go
@@ -8,6 +8,7 @@
 
 	"foxtailbridge/link/peer/peerv1"
 	"foxtailbridge/link/peer/peerv1/peerv1connect"
+	"foxtailbridge/link/socket"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/fault"
 )
@@ -42,7 +43,7 @@
 
 // Dial returns a Client for the instance at the address, which uses the shared secret.
 func Dial(client *http.Client, address, secret string) *Client {
-	service := peerv1connect.NewPeerServiceClient(client, "http://"+address,
+	service := peerv1connect.NewPeerServiceClient(socket.Bound(client, MaxMessageBytes), "http://"+address,
 		connect.WithInterceptors(sendSecret(secret)),
 		connect.WithReadMaxBytes(MaxMessageBytes))
 	return &Client{
--- a/link/peer/server.go
+++ b/link/peer/server.go
@@ -22,7 +22,7 @@
 	_, handler := peerv1connect.NewPeerServiceHandler(&service{s},
 		connect.WithInterceptors(wantSecret(secret)),
 		connect.WithReadMaxBytes(MaxMessageBytes))
-	return handler
+	return http.MaxBytesHandler(handler, MaxMessageBytes)
 }
 
 var errSecret = errors.New("wrong peer secret")
