--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"foxtailbridge/entry/registry"
+	"foxtailbridge/link/socket"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
@@ -37,6 +38,10 @@
 	retryPause = clock.Second
 	// lonelySpan is the age of the view from which peers anywhere are asked.
 	lonelySpan = 1200 * clock.Millis(1)
+	// maxMessage bounds a message in bytes: the store's largest record four times
+	// over as a configuration, and some thousand endpoints with 300 bytes each, all
+	// in base64, are half of it.
+	maxMessage = 4 << 20
 )
 
 // Parts are the parts of an instance that the relay passes on.
@@ -102,7 +107,8 @@
 
 // Handler serves the exchange.
 func (r *Relay) Handler() (string, http.Handler) {
-	return procedure, connect.NewUnaryHandler(procedure, r.serve, connect.WithCodec(codec{}))
+	handler := connect.NewUnaryHandler(procedure, r.serve, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessage))
+	return procedure, http.MaxBytesHandler(handler, maxMessage)
 }
 
 func (r *Relay) serve(_ context.Context, request *connect.Request[Message]) (*connect.Response[Message], error) {
@@ -204,7 +210,7 @@
 	r.mu.Lock()
 	client := r.clients[address]
 	if client == nil {
-		client = connect.NewClient[Message, Message](r.parts.Client, "http://"+address+procedure, connect.WithCodec(codec{}))
+		client = connect.NewClient[Message, Message](socket.Bound(r.parts.Client, maxMessage), "http://"+address+procedure, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessage))
 		r.clients[address] = client
 	}
 	r.mu.Unlock()
--- a/link/endpoint/endpoint.go
+++ b/link/endpoint/endpoint.go
@@ -32,8 +32,12 @@
 	KindIncomplete Kind = "incomplete"
 	// KindCanceled means that the caller's context ended the attempt.
 	KindCanceled Kind = "canceled"
-	// KindFailed means that the endpoint ran the request and reports a failure.
+	// KindFailed means that the endpoint ran the request and reports a failure, or
+	// sends without end what is no answer.
 	KindFailed Kind = "failed"
+	// KindOverrun means that a stream held more than was asked for: what came of it
+	// is no answer, so nothing may go on behind it.
+	KindOverrun Kind = "overrun"
 )
 
 // Error is the error type of this package.
@@ -98,8 +102,6 @@
 	Hold  []ticket.VersionRef `json:"hold"`
 }
 
-const maxReportBytes = 1 << 20
-
 // getJSON decodes the JSON answer of a GET.
 func getJSON(ctx context.Context, client *http.Client, call *sling.Sling, into any) error {
 	request, err := call.Request()
@@ -169,7 +171,7 @@
 func New(baseURL string, opts ...Option) *Endpoint {
 	o := newOptions(opts)
 	work := &http.Client{Transport: o.workTransport()}
-	reports := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	reports := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHead}}
 	base := sling.New().Base(baseURL)
 	return &Endpoint{
 		Load: func(ctx context.Context) (*Load, error) {
