Ask whether to wait on in the goroutine that waits, not in a timer's

What callers could see: a stream cut, or begun anew, though its endpoint had just sent; and a request cut on a channel that an earlier stream had used.

Cause: a timer's function formed the verdict on silence. Stopping the timer does not wait for a function under way, and asking whether the endpoint lives takes up to 150 ms. Meanwhile events came, or the stream ended and the channel went to another request; the function then set the read deadline all the same, or set the timer again. It also read the request's state while its goroutine wrote it (the data race that the detector reports). The class: a callback that outlives what armed it.

Evidence: TestLateVerdict failed before, both rows in five runs of five ('event 2: silent', 'the next request: silent: on a kept channel'), and passes ten of ten with the race detector; TestSilenceIsWaitedOut has no race any more.

--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -86,7 +86,7 @@
 		now := t.clock.Mono()
 		t.pause = max(t.pause, now-last)
 		last = now
-		r.eventAt.Store(int64(now))
+		r.eventAt = now
 		if events == compareEvents {
 			t.comparePace(r, now-began, events)
 		}
--- a/entry/forward/patience.go
+++ b/entry/forward/patience.go
@@ -34,8 +34,8 @@
 	}
 	now := t.clock.Mono()
 	since, patience, limit := r.sentAt, r.patience, t.limit(r.patience)
-	if at := clock.Millis(r.eventAt.Load()); at > 0 {
-		since, patience, limit = at, t.gap(), clock.Millis(pauseGaps*float64(t.route.GapGoal))
+	if r.eventAt > 0 {
+		since, patience, limit = r.eventAt, t.gap(), clock.Millis(pauseGaps*float64(t.route.GapGoal))
 	}
 	heard, waits := now-t.endpoints.lastHeard(r.state), false
 	if now-since < limit {
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -97,7 +97,8 @@
 	Left clock.Millis
 	// FirstBy bounds the wait for the answer's head.
 	FirstBy clock.Millis
-	// Waits is asked when FirstBy or a Gap has passed; true waits as long again.
+	// Waits is asked when FirstBy or a Gap has passed; true waits as long again. It
+	// runs in the goroutine that waits.
 	Waits func() bool
 	// Once is true if the request may run only once.
 	Once bool
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -1,8 +1,6 @@
 package forward
 
 import (
-	"sync/atomic"
-
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/placement"
@@ -27,8 +25,8 @@
 	compared bool
 	// patience is the wait for the answer's head.
 	patience clock.Millis
-	// eventAt is when the last event came; the sender's timer reads it too.
-	eventAt atomic.Int64
+	// eventAt is when the last event came, or 0.
+	eventAt clock.Millis
 }
 
 // first notes the answer's head.
