Compare a canary's streams with the old release's under like load

Cause: the canary gets 4 in 100 sessions on as many endpoints as the old release has, so they are almost idle. What slowed the old ones was their load and the prompts read beside.

A stream is now bad if it takes twice the median of the eleven of the old release's last forty streams that ran under the load nearest to its own. The old release is counted by the same measure, so the test still sets itself.

--- a/entry/forward/evidence.go
+++ b/entry/forward/evidence.go
@@ -77,7 +77,7 @@
 	// endpoints that are under high load by their own word; one is bad only if it failed.
 	LoadRoute catalog.RouteName = "*load"
 	// PaceRoute stands for the pace of streams while the canary runs: one is bad if
-	// it is slower than three quarters of the old release's.
+	// it is slow beside the old release's under like load.
 	PaceRoute catalog.RouteName = "*pace"
 	// MovedRoute stands for their pace while traffic moves: one is bad if it is slow
 	// even for an endpoint under high load.
@@ -85,7 +85,7 @@
 )
 
 const (
-	// PaceRate is the share of the old release's streams that are good by PaceRoute.
+	// PaceRate is the share of the old release's streams taken to be good by PaceRoute.
 	PaceRate = 1 - slowPart
 	// MovedRate is the least share of a good release's streams that are good by
 	// MovedRoute: under high load some are slow for the prompts read beside them.
@@ -106,7 +106,7 @@
 		r.count(MovedRoute, !t.slowMoved(r, span, events))
 		return
 	}
-	if slower, known := t.endpoints.comparePace(r.key.model, span, events, t.arm != ArmNew); known {
+	if slower, known := t.endpoints.comparePace(r.state, r.key.model, span, events, t.arm != ArmNew); known {
 		r.count(PaceRoute, !slower)
 	}
 }
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -524,6 +524,60 @@
 	})
 }
 
+// TestSlowReleaseOnIdleEndpoints guards against a release that is several times
+// slower and passes, as its idle endpoints are no slower than the old, loaded ones.
+func TestSlowReleaseOnIdleEndpoints(t *testing.T) {
+	rows := []struct {
+		name  string
+		pause time.Duration
+		slow  bool
+	}{
+		{"as good as the old release", 22 * time.Millisecond, false},
+		{"several times slower", 97 * time.Millisecond, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				n := 0
+				b.answer = func(_ int, a *Attempt) (*Answer, error) {
+					if a.Endpoint.Release == "v2" {
+						answer := pacedStream(8, row.pause)
+						answer.Load = &placement.Load{Running: 1, Slots: 64}
+						return answer, nil
+					}
+					n++
+					running := 4 + n*7%16 // 4 to 19 at once, in turn.
+					pause := time.Duration(18+3*running) * time.Millisecond
+					if n%2 == 0 && running > 8 {
+						pause += 100 * time.Millisecond // Long prompts are read beside it.
+					}
+					answer := pacedStream(8, pause)
+					answer.Load = &placement.Load{Running: running, Slots: 64}
+					return answer, nil
+				}
+				ask := func(i int) {
+					b.serve(t.Context(), "/note/x", func(r *Request) {
+						r.ID, r.Session = RequestID(fmt.Sprint(i)), fmt.Sprint("session", i)
+					})
+				}
+				for i := range 48 {
+					ask(i)
+				}
+				order := b.order(5, 200*clock.Second)
+				time.Sleep(3 * time.Second)
+				for i := range 200 {
+					ask(100 + i)
+				}
+				got := b.relay.Sum(Series(order, PaceRoute, evidence.ArmTo))
+				if got.Rated() < 4 || row.slow && got.Good > 0 || !row.slow && got.Bad > 0 {
+					t.Errorf("%+v counted in the canary", got)
+				}
+			})
+		})
+	}
+}
+
 // order gives the bench an order for a second release, with one endpoint of it.
 func (b *bench) order(number catalog.OrderNumber, span clock.Millis) *catalog.Order {
 	order := &catalog.Order{Number: number, Service: "engines", Target: "v2", Span: span}
--- a/entry/forward/pace.go
+++ b/entry/forward/pace.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"cmp"
+	"slices"
+
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/placement"
 	"foxtailbridge/policy/ticket"
@@ -9,41 +12,58 @@
 // pace is the usual time between the events of a model's streams.
 type pace struct {
 	mean placement.Average
-	// quartile is the time that a quarter of the streams exceed in their first
-	// compareEvents events, compared the number of streams that it was set by.
-	quartile float64
-	compared int
+	// streams are the latest of the usual release, count is how many there were.
+	streams [paceStreams]loadedPace
+	count   int
+}
+
+// loadedPace is a stream's time between its first compareEvents events, at an
+// endpoint that had so many requests.
+type loadedPace struct {
+	value    float64
+	occupied int
 }
 
 const (
-	// slowPart is the part of the usual release's streams that lie above the quartile.
+	// paceStreams is how many streams are looked through for those that ran under
+	// like load, nearStreams how many of those are compared with: with a zone lost
+	// and the others crowded, so many streams set the measure anew.
+	paceStreams = 40
+	nearStreams = 11
+	// slowPart is the part of the usual release's streams taken to be slower than
+	// paceFactor times the median: those beside which long prompts are read.
 	slowPart = 0.25
-	// quartileStep is how far one stream moves the quartile, as a part of it: some
-	// ten streams set it anew, as when a zone is lost and the others are crowded.
-	quartileStep = 0.25
 	// paceRuns is how many streams the mean looks back on.
 	paceRuns = 40
 )
 
-// compare reports whether a stream lies above the quartile, once that is known,
-// and moves it by a stream of the usual release.
-func (p *pace) compare(value float64, usual bool) (slower, known bool) {
-	slower, known = value > p.quartile, p.compared >= usualRuns
-	if !usual {
-		return slower, known
-	}
-	p.compared++
-	switch {
-	case p.compared <= usualRuns/2:
-		p.quartile += (value - p.quartile) / float64(p.compared)
-	case slower:
-		p.quartile *= 1 + quartileStep*(1-slowPart)
-	default:
-		p.quartile *= 1 - quartileStep*slowPart
+// compare reports whether a stream is slow for the load under which it ran, once
+// enough streams of the usual release are known, and takes one of that release.
+func (p *pace) compare(value float64, occupied int, usual bool) (slower, known bool) {
+	known = p.count >= nearStreams
+	slower = known && value > paceFactor*p.median(occupied)
+	if usual {
+		p.streams[p.count%paceStreams] = loadedPace{value, occupied}
+		p.count++
 	}
 	return slower, known
 }
 
+// median returns the median of the usual release's streams under the load
+// nearest to the one given, the latest first.
+func (p *pace) median(occupied int) float64 {
+	latest := make([]loadedPace, 0, paceStreams)
+	for i := range min(p.count, paceStreams) {
+		latest = append(latest, p.streams[(p.count-1-i)%paceStreams])
+	}
+	slices.SortStableFunc(latest, func(a, b loadedPace) int {
+		return max(a.occupied-occupied, occupied-a.occupied) - max(b.occupied-occupied, occupied-b.occupied)
+	})
+	near := latest[:min(nearStreams, len(latest))]
+	slices.SortFunc(near, func(a, b loadedPace) int { return cmp.Compare(a.value, b.value) })
+	return near[len(near)/2].value
+}
+
 func (e *endpoints) pace(model ticket.ModelName) *pace {
 	p := e.paces[model]
 	if p == nil {
@@ -63,13 +83,13 @@
 	smooth(&e.pace(model).mean, float64(span)/float64(events-1), paceRuns)
 }
 
-// comparePace reports whether a stream's first events came more slowly than in
-// three quarters of the usual release's streams; known is false while there are
-// too few of them.
-func (e *endpoints) comparePace(model ticket.ModelName, span clock.Millis, events int, usual bool) (slower, known bool) {
+// comparePace reports whether a stream's first events came slowly for the load of
+// its endpoint; known is false while there are too few streams of the usual
+// release to say.
+func (e *endpoints) comparePace(s *placement.State, model ticket.ModelName, span clock.Millis, events int, usual bool) (slower, known bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.pace(model).compare(float64(span)/float64(events-1), usual)
+	return e.pace(model).compare(float64(span)/float64(events-1), s.Occupied(e.clock.Mono()), usual)
 }
 
 const (
