Tell a canary stream's pace from its second event on

Cause: a stream counted from its third event on, and most answers of a canary are shorter. Before its load phase, at 16.7 s, the release had 11 requests: three streams of three events or more, all counted as slow, two answers of two events, whose pauses of 104 and 116 ms said the same, and six of one event. Five are needed. Ruled out: the measure itself (no stream was taken as good).

Beside others under like load one gap says enough: the old release is counted by the same measure, and its median bears the gaps in which a prompt is read. Streams that move with all traffic keep three events. The rows with short answers of TestSlowReleaseOnIdleEndpoints counted nothing before.

--- a/entry/forward/evidence.go
+++ b/entry/forward/evidence.go
@@ -92,13 +92,18 @@
 	MovedRate = 0.8
 )
 
-// compareEvents is how many events show a stream's pace.
-const compareEvents = 6
+const (
+	// compareEvents is how many events show a stream's pace.
+	compareEvents = 6
+	// leastEvents is how many show it beside others under like load: short answers
+	// end before a third event, and a canary has few others.
+	leastEvents = 2
+)
 
 // comparePace counts a stream's pace against that of the old release, once. It
 // is called when a stream has compareEvents events, is slow, or ends.
 func (t *task) comparePace(r *run, span clock.Millis, events int) {
-	if r.compared || events < paceEvents {
+	if r.compared || events < leastEvents || t.moving() && events < paceEvents {
 		return
 	}
 	r.compared = true
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -525,15 +525,19 @@
 }
 
 // TestSlowReleaseOnIdleEndpoints guards against a release that is several times
-// slower and passes, as its idle endpoints are no slower than the old, loaded ones.
+// slower and passes, as its idle endpoints are no slower than the old, loaded ones,
+// or as the answers of its canary are too short to tell.
 func TestSlowReleaseOnIdleEndpoints(t *testing.T) {
 	rows := []struct {
-		name  string
-		pause time.Duration
-		slow  bool
+		name   string
+		pause  time.Duration
+		events int
+		slow   bool
 	}{
-		{"as good as the old release", 22 * time.Millisecond, false},
-		{"several times slower", 97 * time.Millisecond, true},
+		{"as good as the old release", 22 * time.Millisecond, 8, false},
+		{"several times slower", 97 * time.Millisecond, 8, true},
+		{"as good, with short answers", 22 * time.Millisecond, 2, false},
+		{"several times slower, with short answers", 97 * time.Millisecond, 2, true},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -542,7 +546,7 @@
 				n := 0
 				b.answer = func(_ int, a *Attempt) (*Answer, error) {
 					if a.Endpoint.Release == "v2" {
-						answer := pacedStream(8, row.pause)
+						answer := pacedStream(row.events, row.pause)
 						answer.Load = &placement.Load{Running: 1, Slots: 64}
 						return answer, nil
 					}
@@ -552,7 +556,7 @@
 					if n%2 == 0 && running > 8 {
 						pause += 100 * time.Millisecond // Long prompts are read beside it.
 					}
-					answer := pacedStream(8, pause)
+					answer := pacedStream(row.events, pause)
 					answer.Load = &placement.Load{Running: running, Slots: 64}
 					return answer, nil
 				}
@@ -560,11 +564,12 @@
 					b.serve(t.Context(), "/note/x", func(r *Request) {
 						r.ID, r.Session = RequestID(fmt.Sprint(i)), fmt.Sprint("session", i)
 					})
+					time.Sleep(2 * time.Second) // What the endpoint told of its load is forgotten.
 				}
 				for i := range 48 {
 					ask(i)
 				}
-				order := b.order(5, 200*clock.Second)
+				order := b.order(5, 2000*clock.Second)
 				time.Sleep(3 * time.Second)
 				for i := range 200 {
 					ask(100 + i)
