Wait on at a silent endpoint that lives while no other has room

What callers saw: streams that ended in the middle, and answers 502, though their endpoints were sound.

Cause: silence beyond a limit gave a request's place up if attempts, time and budget allowed another run; whether any endpoint had room was asked only then. On a crowded fleet none had, so the request lost its place and ended.

Change: the limit holds only if another endpoint has room now; else a living endpoint is waited for.

Evidence: TestSilenceWithoutAnotherPlace failed before ('waits false, want true') and passes.

--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -670,6 +670,65 @@
 	})
 }
 
+// Guards against a stream that is given up for its endpoint's silence, and then ends
+// in the middle because no other endpoint has room.
+func TestSilenceWithoutAnotherPlace(t *testing.T) {
+	rows := []struct {
+		name     string
+		occupied int
+		dead     bool
+		waits    bool
+	}{
+		{"the others are full", 60, false, true},
+		{"the others are full, and the endpoint is gone", 60, true, false},
+		{"another has room", 0, false, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				b.answer = func(n int, a *Attempt) (*Answer, error) {
+					if n > 1 {
+						return stream(90, io.EOF, "2"), nil
+					}
+					answer, events := stream(90, io.EOF, "1", "2"), 0
+					next := answer.Next
+					answer.Next = func() (Event, error) {
+						if events++; events == 2 {
+							time.Sleep(4 * time.Second)
+							b.dead[a.Endpoint.ID] = row.dead
+							b.crowd(row.occupied, a.Endpoint.ID)
+							if waits := a.Waits(); waits != row.waits {
+								t.Errorf("waits %v, want %v", waits, row.waits)
+							}
+							if !row.waits {
+								return Event{}, failure(KindSilent)
+							}
+						}
+						return next()
+					}
+					return answer, nil
+				}
+				c := b.serve(t.Context(), "/note/x", nil)
+				if whole := row.occupied == 0 || row.waits; whole && c.events != "1;2;" {
+					t.Errorf("the caller got %q, %+v", c.events, c.Result)
+				}
+			})
+		})
+	}
+}
+
+// crowd has other instances fill all engines but one.
+func (b *bench) crowd(occupied int, but routing.EndpointID) {
+	counts := map[routing.EndpointID]int{}
+	for i := range 4 {
+		if id := routing.EndpointID(fmt.Sprint("engines", i)); id != but {
+			counts[id] = occupied
+		}
+	}
+	b.endpoints.others(counts)
+}
+
 // TestNextOrderAfterARollBack has an operator order a third release while endpoints
 // of the second, which was rolled back, still run.
 func TestNextOrderAfterARollBack(t *testing.T) {
--- a/entry/forward/patience.go
+++ b/entry/forward/patience.go
@@ -25,7 +25,7 @@
 
 // waits decides whether silence is waited out. An engine that answers others is
 // busy with long prompts, not dead; and without another place to go on there is
-// no use in ending an answer.
+// no use in ending an answer while the endpoint lives.
 func (r *run) waits(ctx context.Context) bool {
 	t := r.task
 	end := attempt.End{Sent: attempt.SentSome}
@@ -38,7 +38,7 @@
 		since, patience, limit = r.eventAt, t.gap(), clock.Millis(pauseGaps*float64(t.route.GapGoal))
 	}
 	heard, waits := now-t.endpoints.lastHeard(r.state), false
-	if now-since < limit {
+	if now-since < limit || !t.elsewhere() {
 		waits = heard < patience || t.parts.Sender.Alive(ctx, r.endpoint)
 	}
 	if !waits {
@@ -48,6 +48,14 @@
 	return waits
 }
 
+// elsewhere reports whether another endpoint has room for the request now.
+func (t *task) elsewhere() bool {
+	view, arm, p := t.view, t.arm, t.progress
+	defer func() { t.view, t.arm, t.progress = view, arm, p }()
+	q := t.query()
+	return t.endpoints.peek(t.view, t.service, q).State != nil
+}
+
 const (
 	// slowRead is the prompt tokens that a busy engine reads in a millisecond.
 	slowRead = 8
