Let a drain see buffered requests, leave no deadline, and end late channels

What callers could see: a request cut while it was handled, if its bytes came with those of the request before; 400 for a proper request, or a closed channel, if its first bytes were read just as the drain gave new channels up; a stop that took all its time; a reset in place of the end after a refused body.

Change: the server's word that a request is active counts as much as a read; what is taken on an ending channel loses the drain's deadline; a channel accepted late is ended at once; CloseWrite is passed on.

TestEndlessMessage failed once on a busy machine, in its call's deadline of 500 ms; it runs in virtual time now, the bounds are the same.

--- a/link/peer/endless_test.go
+++ b/link/peer/endless_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"foxtailbridge/link/peer/peerv1"
 	"foxtailbridge/link/peer/peerv1/peerv1connect"
@@ -56,14 +57,17 @@
 		check(t, e)
 	})
 	t.Run("answered", func(t *testing.T) {
-		e := &endless{}
-		client := &http.Client{Transport: answering(func() *http.Response {
-			return &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"application/proto"}}, ContentLength: -1, Body: io.NopCloser(e)}
-		})}
-		if _, err := Dial(client, "b", "s").Sync(context.Background(), &peerv1.Update{}); fault.KindOf[Kind](err) != KindRefused {
-			t.Errorf("error %v", err)
-		}
-		check(t, e)
+		// In virtual time a busy machine does not run into the call's deadline.
+		synctest.Test(t, func(t *testing.T) {
+			e := &endless{}
+			client := &http.Client{Transport: answering(func() *http.Response {
+				return &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"application/proto"}}, ContentLength: -1, Body: io.NopCloser(e)}
+			})}
+			if _, err := Dial(client, "b", "s").Sync(context.Background(), &peerv1.Update{}); fault.KindOf[Kind](err) != KindRefused {
+				t.Errorf("error %v", err)
+			}
+			check(t, e)
+		})
 	})
 }
 
--- a/link/socket/channels.go
+++ b/link/socket/channels.go
@@ -15,7 +15,10 @@
 	mu        sync.Mutex
 	listeners []net.Listener
 	open      map[*channel]bool
+	counts    map[phase]int
 	draining  bool
+	// late is true once a drain takes no new channels.
+	late bool
 	// idle is closed when no request is under way or may come; it is made by Drain.
 	idle chan struct{}
 }
@@ -26,7 +29,7 @@
 
 // NewChannels returns Channels.
 func NewChannels() *Channels {
-	return &Channels{open: map[*channel]bool{}}
+	return &Channels{open: map[*channel]bool{}, counts: map[phase]int{}}
 }
 
 // channel is one accepted connection.
@@ -71,10 +74,14 @@
 	if err != nil {
 		return nil, err
 	}
-	ch := &channel{Conn: conn, set: l.set, phase: phaseNew}
+	ch := &channel{Conn: conn, set: l.set}
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
 	l.set.open[ch] = true
+	ch.enter(phaseNew)
+	if l.set.late {
+		ch.wake()
+	}
 	return ch, nil
 }
 
@@ -93,10 +100,45 @@
 	if ch.phase == phaseClosed {
 		return 0, net.ErrClosed
 	}
-	ch.phase = phaseBusy
+	ch.take()
 	return n, err
 }
 
+// take marks a request as under way, also on a channel that was about to be closed;
+// the caller holds the lock.
+func (ch *channel) take() {
+	if ch.phase == phaseEnding {
+		_ = ch.Conn.SetReadDeadline(time.Time{}) // A channel that is gone fails its next read.
+	}
+	ch.enter(phaseBusy)
+}
+
+// enter moves the channel to a phase; the caller holds the lock.
+func (ch *channel) enter(p phase) {
+	if ch.phase != "" {
+		ch.set.counts[ch.phase]--
+	}
+	ch.set.counts[p]++
+	ch.phase = p
+}
+
+// wake ends the wait of the channel's reader, which closes the channel or takes what
+// has arrived; the caller holds the lock.
+func (ch *channel) wake() {
+	if ch.Conn.SetReadDeadline(time.Unix(1, 0)) == nil {
+		ch.enter(phaseEnding)
+	}
+}
+
+// CloseWrite ends the sending direction, as the server does before it closes a
+// channel whose request it has not read whole.
+func (ch *channel) CloseWrite() error {
+	if half, ok := ch.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return ch.Conn.Close()
+}
+
 // arrived decides what becomes of an ending channel once its reader is awake: if the
 // next request is there, it is taken.
 func (ch *channel) arrived() bool {
@@ -106,7 +148,7 @@
 		return false
 	}
 	if ch.Conn.SetReadDeadline(time.Time{}) == nil && Stale(ch.Conn) {
-		ch.phase = phaseBusy
+		ch.enter(phaseBusy)
 		return true
 	}
 	ch.close()
@@ -133,13 +175,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
+	case http.StateActive:
+		if ch.phase != phaseClosed {
+			ch.take() // A request that came with the one before needs no further read.
+		}
+		return
 	case http.StateIdle:
-		ch.phase = phaseIdle
+		ch.enter(phaseIdle)
 		if c.draining {
 			ch.close()
 		}
 	case http.StateClosed, http.StateHijacked:
-		delete(c.open, ch)
+		if c.open[ch] {
+			c.counts[ch.phase]--
+			delete(c.open, ch)
+		}
 	default:
 		return
 	}
@@ -148,7 +198,7 @@
 
 // close closes a channel on which no request is under way; the caller holds the lock.
 func (ch *channel) close() {
-	ch.phase = phaseClosed
+	ch.enter(phaseClosed)
 	ch.Conn.Close()
 }
 
@@ -162,7 +212,7 @@
 	for _, l := range c.listeners {
 		l.Close()
 	}
-	c.end(phaseIdle)
+	c.wake(phaseIdle)
 	c.settle()
 	c.mu.Unlock()
 	first := time.NewTimer(firstRequest)
@@ -171,7 +221,8 @@
 		select {
 		case <-first.C:
 			c.mu.Lock()
-			c.end(phaseNew)
+			c.late = true
+			c.wake(phaseNew)
 			c.settle()
 			c.mu.Unlock()
 			continue
@@ -182,12 +233,11 @@
 	}
 }
 
-// end wakes the readers of the channels in a phase, to close them or to take what
-// has arrived; the caller holds the lock.
-func (c *Channels) end(p phase) {
+// wake wakes the readers of the channels in a phase; the caller holds the lock.
+func (c *Channels) wake(p phase) {
 	for ch := range c.open {
-		if ch.phase == p && ch.Conn.SetReadDeadline(time.Unix(1, 0)) == nil {
-			ch.phase = phaseEnding
+		if ch.phase == p {
+			ch.wake()
 		}
 	}
 }
@@ -195,7 +245,7 @@
 // settle ends the wait of Drain when no request is under way or to come; the caller
 // holds the lock.
 func (c *Channels) settle() {
-	if c.idle == nil || c.count(phaseBusy)+c.count(phaseNew)+c.count(phaseEnding) > 0 {
+	if c.idle == nil || c.counts[phaseBusy]+c.counts[phaseNew]+c.counts[phaseEnding] > 0 {
 		return
 	}
 	select {
@@ -209,15 +259,5 @@
 func (c *Channels) Busy() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.count(phaseBusy)
-}
-
-func (c *Channels) count(p phase) int {
-	n := 0
-	for ch := range c.open {
-		if ch.phase == p {
-			n++
-		}
-	}
-	return n
+	return c.counts[phaseBusy]
 }
--- a/link/socket/channels_test.go
+++ b/link/socket/channels_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -50,10 +51,10 @@
 	}
 }
 
-// answered reads one answer and reports whether it came whole.
+// answered reads one answer and reports whether it came whole and is the handler's.
 func answered(r *bufio.Reader) bool {
 	response, err := http.ReadResponse(r, nil)
-	if err != nil {
+	if err != nil || response.StatusCode != http.StatusOK {
 		return false
 	}
 	_, err = io.Copy(io.Discard, response.Body)
@@ -197,6 +198,136 @@
 	}
 }
 
+// Guards against a request that is cut while it is handled because its bytes came
+// with those of the request before.
+func TestDrainSeesARequestThatIsBuffered(t *testing.T) {
+	hold, entered := make(chan struct{}), make(chan struct{})
+	f := serve(t, plain, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/two" {
+			close(entered)
+			select {
+			case <-hold:
+			case <-r.Context().Done():
+			}
+		}
+	})
+	conn, reader := f.dial(t)
+	if _, err := io.WriteString(conn, "GET /one HTTP/1.1\r\nHost: h\r\n\r\nGET /two HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil || !answered(reader) {
+		t.Fatal("no answer", err)
+	}
+	<-entered
+	drained := make(chan int, 1)
+	go func() { drained <- f.set.Drain(context.Background()) }()
+	select {
+	case <-drained:
+		t.Error("the drain is over while a request is handled")
+	case <-time.After(20 * time.Millisecond):
+	}
+	close(hold)
+	if !answered(reader) {
+		t.Error("no answer")
+	}
+}
+
+// Guards against a read deadline of the drain that stays on a channel whose request
+// was taken: the server would answer 400, or close it.
+func TestDrainLeavesNoDeadline(t *testing.T) {
+	rows := []struct{ name, first, rest string }{
+		{"head in parts", "GET / HTTP/1.1\r\nHo", "st: h\r\n\r\n"},
+		{"long head", "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 5000) + "\r\n\r\n", ""},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			gate := &gated{reads: make(chan struct{})}
+			f := serve(t, func(l net.Listener) net.Listener { gate.Listener = l; return gate }, func(http.ResponseWriter, *http.Request) {})
+			conn, reader := f.dial(t)
+			if _, err := io.WriteString(conn, row.first); err != nil {
+				t.Fatal(err)
+			}
+			<-gate.reads // The first bytes are read as the drain gives new channels up.
+			drained := make(chan int, 1)
+			go func() { drained <- f.set.Drain(context.Background()) }()
+			time.Sleep(firstRequest + 20*time.Millisecond)
+			gate.reads <- struct{}{}
+			go func() {
+				for range gate.reads {
+					gate.reads <- struct{}{}
+				}
+			}()
+			time.Sleep(20 * time.Millisecond)
+			if _, err := io.WriteString(conn, row.rest); err != nil {
+				t.Fatal(err)
+			}
+			if !answered(reader) {
+				t.Error("the request is not answered")
+			}
+			if left := <-drained; left != 0 {
+				t.Errorf("%d requests left", left)
+			}
+		})
+	}
+}
+
+// lateAccept holds accepted channels back.
+type lateAccept struct {
+	net.Listener
+	got, on chan struct{}
+}
+
+func (l *lateAccept) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.got <- struct{}{}
+		<-l.on
+	}
+	return conn, err
+}
+
+// Guards against a drain that waits all its time for a channel that was accepted late.
+func TestDrainEndsLateChannels(t *testing.T) {
+	l := &lateAccept{got: make(chan struct{}), on: make(chan struct{})}
+	hold := make(chan struct{})
+	f := serve(t, func(in net.Listener) net.Listener { l.Listener = in; return l }, func(http.ResponseWriter, *http.Request) { <-hold })
+	busy, _ := f.dial(t)
+	<-l.got
+	l.on <- struct{}{}
+	ask(t, busy)
+	for f.set.Busy() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.dial(t)
+	<-l.got
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	drained := make(chan int, 1)
+	go func() { drained <- f.set.Drain(ctx) }()
+	time.Sleep(firstRequest + 20*time.Millisecond)
+	l.on <- struct{}{}
+	close(hold)
+	<-drained
+	if ctx.Err() != nil {
+		t.Error("the drain took all its time")
+	}
+}
+
+// Guards against channels that are reset while their answer is under way, since the
+// server cannot end its own direction first.
+func TestChannelsEndTheirDirection(t *testing.T) {
+	f := serve(t, plain, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(http.MaxBytesReader(w, r.Body, 10)) // It is too large.
+	})
+	conn, reader := f.dial(t)
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 5000)); err != nil {
+		t.Fatal(err)
+	}
+	if !answered(reader) {
+		t.Error("no answer")
+	}
+	if _, err := reader.ReadByte(); err != io.EOF {
+		t.Errorf("the channel ends with %v", err)
+	}
+}
+
 func TestDrain(t *testing.T) {
 	hold, entered := make(chan struct{}), make(chan struct{})
 	f := serve(t, plain, func(_ http.ResponseWriter, r *http.Request) {
