--- a/link/supervisor/supervisor.go
+++ b/link/supervisor/supervisor.go
@@ -25,6 +25,8 @@
 	s := &Signals{stops: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1), stop: make(chan struct{})}
 	signal.Notify(s.stops, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reloads, syscall.SIGHUP)
+	// A log whose reader has gone must not end the process: the write fails instead.
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
