Keep room in the log's queue for failures

Lines on requests that were served and on those that failed took the queue alike, so that the lines one looks for were the likelier to be missing the heavier the load.

Change: a quarter of the queue takes warnings and errors only.

--- a/link/telemetry/queue.go
+++ b/link/telemetry/queue.go
@@ -4,10 +4,16 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+
+	"github.com/hashicorp/go-hclog"
 )
 
-// queueLines bounds the log lines that wait to be written.
-const queueLines = 2048
+const (
+	// queueLines bounds the log lines that wait to be written.
+	queueLines = 2048
+	// failureLines is the part of them that only warnings and errors may use.
+	failureLines = queueLines / 4
+)
 
 // Queue is a writer that never blocks: lines that find it full are dropped and
 // counted.
@@ -27,6 +33,15 @@
 
 // Write queues one line.
 func (q *Queue) Write(line []byte) (int, error) {
+	return q.LevelWrite(hclog.Warn, line)
+}
+
+// LevelWrite queues one line of a level; it makes the queue an hclog.LevelWriter.
+func (q *Queue) LevelWrite(level hclog.Level, line []byte) (int, error) {
+	if level < hclog.Warn && len(q.lines) >= queueLines-failureLines {
+		q.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case q.lines <- append([]byte(nil), line...):
 	default:
--- a/link/telemetry/queue_test.go
+++ b/link/telemetry/queue_test.go
@@ -45,3 +45,24 @@
 		t.Error(err)
 	}
 }
+
+// Guards against failures of requests that are missing from the log because lines on
+// requests that were served took the queue.
+func TestQueueKeepsRoomForFailures(t *testing.T) {
+	out := &stuck{}
+	out.mu.Lock()
+	q := NewQueue(out)
+	logger := NewLogger("a", "info", q).Named("forward")
+	for range 2 * queueLines {
+		logger.Info("request", "outcome", "served")
+	}
+	const failures = 100
+	for range failures {
+		logger.Warn("request", "outcome", "stream-cut")
+	}
+	out.mu.Unlock()
+	q.Close()
+	if got := strings.Count(out.buf.String(), "outcome=stream-cut"); got != failures {
+		t.Errorf("%d of %d failures are in the log", got, failures)
+	}
+}
