Bound the wait for the log's reader at the end of a process

A reader that stops reading without closing the pipe held the process at its last step until it was killed: a write to the pipe has no end.

Change: the log's end waits half a second at the most.

--- a/link/telemetry/queue.go
+++ b/link/telemetry/queue.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -13,6 +14,9 @@
 	queueLines = 2048
 	// failureLines is the part of them that only warnings and errors may use.
 	failureLines = queueLines / 4
+	// closeWait bounds the wait for the output at the end; it fits into what a stop
+	// leaves of the grace time.
+	closeWait = 500 * time.Millisecond
 )
 
 // Queue is a writer that never blocks: lines that find it full are dropped and
@@ -78,8 +82,12 @@
 	_, _ = output.Write(line) // There is nowhere else to tell of a failure.
 }
 
-// Close writes what is queued; what is written afterwards is lost.
+// Close writes what is queued, as far as the output takes it in time; what is written
+// afterwards is lost.
 func (q *Queue) Close() {
 	close(q.quit)
-	<-q.done
+	select {
+	case <-q.done:
+	case <-time.After(closeWait):
+	}
 }
--- a/link/telemetry/queue_test.go
+++ b/link/telemetry/queue_test.go
@@ -66,3 +66,22 @@
 		t.Errorf("%d of %d failures are in the log", got, failures)
 	}
 }
+
+// Guards against a stop that waits for the log's reader until the process is killed.
+func TestCloseDoesNotWaitForAReaderThatIsStuck(t *testing.T) {
+	out := &stuck{}
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	q := NewQueue(out)
+	_, _ = q.Write([]byte("line\n"))
+	closed := make(chan struct{})
+	go func() {
+		q.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(10 * time.Second):
+		t.Error("the log's end waits for its reader")
+	}
+}
