Log an answer that is broken off as a failure, and whether its time was over

Change: a begun answer that is cut at its deadline is 'deadline-passed'; the lines of all answers that fail say how much of the time was left; answers that are cut are warnings.

Evidence: TestLineOfAStream failed before in two of its three rows.

--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -166,7 +166,10 @@
 	if result.RetryAfter > 0 {
 		args = append(args, "retry-after-ms", int64(result.RetryAfter))
 	}
-	if result.Own && result.Reason != ReasonGone {
+	if (result.Own || result.Cut) && result.Reason != ReasonGone {
+		if t.deadline > 0 {
+			args = append(args, "left-ms", int64(max(0, t.deadline-t.clock.Mono())))
+		}
 		t.logger.Warn("request", args...)
 		return
 	}
--- /dev/null
+++ b/entry/forward/record_test.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// Guards against an answer that was broken off and whose line does not tell whether its
+// time was over, or is dropped first as one of a request that was served.
+func TestLineOfAStream(t *testing.T) {
+	rows := []struct {
+		name   string
+		answer func() *Answer
+		want   []string
+	}{
+		{"whole", func() *Answer { return stream(90, io.EOF, "1") }, []string{"[INFO]", "outcome=served"}},
+		{"broken off with time left", func() *Answer { return stream(90, failure(KindOverrun), "1") }, []string{"[WARN]", "outcome=stream-cut", "left-ms=15000"}},
+		{"broken off at its deadline", func() *Answer {
+			a := stream(90, failure(KindSilent), "1")
+			next := a.Next
+			a.Next = func() (Event, error) {
+				event, err := next()
+				if err != nil {
+					time.Sleep(15 * time.Second)
+				}
+				return event, err
+			}
+			return a
+		}, []string{"[WARN]", "outcome=deadline-passed", "left-ms=0"}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var log bytes.Buffer
+				b := newBench()
+				b.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+				b.answer = func(int, *Attempt) (*Answer, error) { return row.answer(), nil }
+				b.serve(t.Context(), "/note/x", nil)
+				lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+				last := lines[len(lines)-1]
+				for _, part := range row.want {
+					if !strings.Contains(last, part) {
+						t.Errorf("no %s in %s", part, last)
+					}
+				}
+			})
+		})
+	}
+}
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -149,7 +149,7 @@
 
 // find picks an endpoint; a new release without endpoints gives way to the old one.
 func (t *task) find() placement.Choice {
-	if t.clock.Mono()+leastLeft > t.deadline {
+	if t.late() {
 		return placement.Choice{Reason: routing.Reason(ReasonLate)}
 	}
 	q := t.query()
@@ -180,7 +180,7 @@
 		"free", choice.Free, "slots", choice.Slots, "waiting", choice.Waiting, "runs", t.runs)
 	switch {
 	case t.begun:
-		return Result{Reason: ReasonCut, Cut: true}
+		return t.cut()
 	case t.ran && late:
 		return own(http.StatusGatewayTimeout, ReasonLate, 0)
 	case t.ran:
@@ -318,7 +318,7 @@
 
 // another reports whether attempts, time and budget allow one more.
 func (t *task) another(end *attempt.End) bool {
-	if t.clock.Mono()+leastLeft > t.deadline || t.sends >= t.route.Attempts+extraSends || t.unsent >= mostUnsent {
+	if t.late() || t.sends >= t.route.Attempts+extraSends || t.unsent >= mostUnsent {
 		return false
 	}
 	if t.runs >= t.route.Attempts {
@@ -359,10 +359,23 @@
 	case attempt.StepRefuse:
 		return own(http.StatusServiceUnavailable, ReasonFull, shortPause), true
 	case attempt.StepCut:
-		return Result{Reason: ReasonCut, Cut: true}, true
+		return t.cut(), true
 	}
-	if t.clock.Mono() >= t.deadline-leastLeft {
+	if t.late() {
 		return own(http.StatusGatewayTimeout, ReasonLate, 0), true
 	}
 	return own(http.StatusBadGateway, ReasonUnknown, 0), true
 }
+
+// cut ends a begun answer that cannot go on.
+func (t *task) cut() Result {
+	if t.late() {
+		return Result{Reason: ReasonLate, Cut: true}
+	}
+	return Result{Reason: ReasonCut, Cut: true}
+}
+
+// late reports whether too little time is left for a further attempt.
+func (t *task) late() bool {
+	return t.clock.Mono()+leastLeft > t.deadline
+}
