Don't take a slow caller for a silent engine

What callers of the product's own program saw: a stream whose caller took longer than ten seconds for a piece was broken off at its engine and begun again elsewhere; the second time it could end with 422, quarantined.

Cause: the idle timer of link/endpoint runs on while the caller takes an event. Its end counts as a broken connection, so the pool takes the request for one that crashes engines (entry/pool/dispatch.go:82). The class: a timer that outlives what armed it.

Change: the timer stands still while the caller takes. The caller has a bound of its own instead, 30 s an event, since a lost one would hold its engine as long as the kernel sends again.

Evidence: TestIdleDoesNotRunWhileTheCallerTakes failed before, three runs of three ('broken: no event within the idle timeout'), and passes, three of three with the race detector. Ruled out: that the users' platform has it: platform/replica has no such timer.

--- a/entry/callerhttp/chat.go
+++ b/entry/callerhttp/chat.go
@@ -4,12 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/google/uuid"
 
 	"foxtailbridge/entry/router"
 	"foxtailbridge/link/caller"
 	"foxtailbridge/link/chat"
+	"foxtailbridge/link/endpoint"
 	"foxtailbridge/policy/fault"
 	"foxtailbridge/policy/session"
 	"foxtailbridge/policy/ticket"
@@ -36,7 +38,7 @@
 	}
 	out := &answerWriter{
 		w:       w,
-		flush:   http.NewResponseController(w).Flush,
+		control: http.NewResponseController(w),
 		id:      "chatcmpl-" + uuid.NewString(),
 		created: s.clock.Wall().Time().Unix(),
 		usage:   parsed.IncludeUsage,
@@ -80,7 +82,7 @@
 // answerWriter writes one chat answer, streamed or whole.
 type answerWriter struct {
 	w       http.ResponseWriter
-	flush   func() error
+	control *http.ResponseController
 	id      string
 	created int64
 	usage   bool
@@ -122,12 +124,18 @@
 	return data
 }
 
+// takeTimeout bounds the time that a caller takes for one event, three times what an
+// engine may take to make one. A caller that is lost would hold its engine for as long
+// as the kernel sends again, some 15 minutes.
+const takeTimeout = 3 * endpoint.DefaultIdle
+
 // data writes one event and flushes it.
 func (o *answerWriter) data(data []byte) error {
+	_ = o.control.SetWriteDeadline(time.Now().Add(takeTimeout.Duration())) // The write says if the caller is gone.
 	if err := o.write(data); err != nil {
 		return err
 	}
-	return o.flush()
+	return o.control.Flush()
 }
 
 func (o *answerWriter) write(data []byte) error {
--- a/link/endpoint/endpoint_test.go
+++ b/link/endpoint/endpoint_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -152,3 +153,27 @@
 		So(calls.Load(), ShouldEqual, 1)
 	})
 }
+
+// Guards against a stream that is broken off as idle while its caller is slow to take
+// a piece: the engine is not silent, nobody listens.
+func TestIdleDoesNotRunWhileTheCallerTakes(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" {
+			fmt.Fprint(w, `{"boot-id":"b1","phase":"warm","slots":1}`)
+			return
+		}
+		w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
+		for _, line := range []string{tokenA, tokenB, usage2, marker} {
+			fmt.Fprintf(w, "data: %s\n\n", line)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(time.Millisecond) // So that the events are not read at once.
+		}
+	}))
+	defer server.Close()
+	const idle = 200
+	slow := func(string) error { time.Sleep(2 * idle * time.Millisecond); return nil }
+	end, err := New(server.URL, WithIdle(idle)).Stream(context.Background(), &Attempt{ID: "mine"}, &StreamRequest{Body: []byte("{}")}, slow)
+	if err != nil || end.CompletionTokens != 2 {
+		t.Errorf("the stream ended with %v", err)
+	}
+}
--- a/link/endpoint/stream.go
+++ b/link/endpoint/stream.go
@@ -73,7 +73,7 @@
 		if err != nil {
 			return nil, s.readError(parent, ctx, err)
 		}
-		idle.Reset(s.options.idle.Duration())
+		idle.Stop() // The time that the caller takes is not the engine's silence.
 		done, err := s.take(event.Data, emit)
 		if err != nil {
 			return nil, err
@@ -82,6 +82,7 @@
 			idle.Reset(drainWait.Duration())
 			return s.finish(response.Body)
 		}
+		idle.Reset(s.options.idle.Duration())
 	}
 	return nil, fault.New("stream", KindIncomplete, "stream ended after %d tokens without its final marker", s.chunks)
 }
