End the callers' channels of an entry instance between two requests

What callers could see: in a planned stop of the product's own program a channel that ends without an answer, if the request became whole only after the servers began to close; and answers cut after all if another server, which was closed first, took the five seconds.

The servers were closed one after the other, in the order of a map, within one bound.

Change: the callers' channels are tracked by link/socket and drained; the other servers end beside them.

Evidence: TestStopAnswersAHeadInParts failed before, three runs of three ('unexpected EOF'), and passes, three of three with the race detector. TestTerminatedUnderLoad, TestSignalsInSeries and TestKilledMidStream pass (one run, real processes). The order of the servers is shown by reading only.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/pprof"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -16,6 +17,7 @@
 	"foxtailbridge/link/peer"
 	"foxtailbridge/link/platform"
 	"foxtailbridge/link/settings"
+	"foxtailbridge/link/socket"
 	"foxtailbridge/link/supervisor"
 	"foxtailbridge/link/telemetry"
 	"foxtailbridge/policy/clock"
@@ -44,11 +46,12 @@
 	admin.Handle("GET /metrics", metricsHandler)
 	admin.HandleFunc("GET /debug/pprof/profile", i.Admin.Guard(pprof.Profile))
 	admin.Handle("/", i.Admin.Handler())
-	servers, err := listen(logger, map[string]http.Handler{
+	callers := socket.NewChannels()
+	others, err := listen(logger, map[string]http.Handler{
 		s.Listen.Caller: i.Callers.Handler(),
 		s.Listen.Peer:   i.PeerHandler(s.Keys.Peer),
 		s.Listen.Admin:  admin,
-	})
+	}, s.Listen.Caller, callers)
 	if err != nil {
 		return err
 	}
@@ -64,7 +67,9 @@
 	draining, cancel := context.WithTimeout(ctx, s.Drain.Duration())
 	defer cancel()
 	whole := i.Shutdown(draining)
-	closeAll(ctx, servers)
+	if left := closeAll(ctx, callers, others); left > 0 {
+		logger.Warn("channels-cut", "busy", left)
+	}
 	if !whole {
 		return errCut
 	}
@@ -87,8 +92,9 @@
 	}
 }
 
-// listen opens every address before it serves any.
-func listen(logger hclog.Logger, handlers map[string]http.Handler) ([]*http.Server, error) {
+// listen opens every address before it serves any, and tracks the channels of the
+// callers' address. It returns the servers of the others.
+func listen(logger hclog.Logger, handlers map[string]http.Handler, caller string, callers *socket.Channels) ([]*http.Server, error) {
 	listeners := map[string]net.Listener{}
 	for address := range handlers {
 		listener, err := net.Listen("tcp", address)
@@ -97,23 +103,35 @@
 		}
 		listeners[address] = listener
 	}
-	var servers []*http.Server
+	var others []*http.Server
 	for address, handler := range handlers {
 		server := &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: readHeaderTimeout,
 			ErrorLog:          logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}),
 		}
-		servers = append(servers, server)
-		go func() { _ = server.Serve(listeners[address]) }()
+		listener := listeners[address]
+		if address == caller {
+			listener = callers.Listener(listener)
+			server.ConnState = callers.State
+		} else {
+			others = append(others, server)
+		}
+		go func() { _ = server.Serve(listener) }()
 	}
-	return servers, nil
+	return others, nil
 }
 
-func closeAll(ctx context.Context, servers []*http.Server) {
+// closeAll ends the callers' channels between two requests, and the other servers
+// beside them; it returns the number of callers' channels that are cut.
+func closeAll(ctx context.Context, callers *socket.Channels, others []*http.Server) int {
 	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
-	for _, server := range servers {
-		_ = server.Shutdown(ctx)
+	var ending sync.WaitGroup
+	for _, server := range others {
+		ending.Go(func() { _ = server.Shutdown(ctx) })
 	}
+	left := callers.Drain(ctx)
+	ending.Wait()
+	return left
 }
