Never end a begun stream with another kind of answer

What callers could see: a stream that ends as whole before its last event. No sound endpoint does what it takes, so it is not the cause of the report; found by review.

Cause: a begun stream that breaks goes on at another endpoint. If that one answers with 3xx, the answer is no stream, counted as success and ended the request; the caller's handler saw a begun answer and closed it properly.

Change: for a begun stream such an answer is a failure; the stream goes on elsewhere or is cut.

Evidence: TestAStreamDoesNotGoOnAsAPlainAnswer failed before, three runs of three ('the stream ends as whole'), and passes with the package under the race detector.

--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -320,6 +320,23 @@
 	}
 }
 
+// Guards against a cut stream that looks whole since the endpoint that should go on
+// with it gives another kind of answer.
+func TestAStreamDoesNotGoOnAsAPlainAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		b.answer = func(n int, _ *Attempt) (*Answer, error) {
+			if n == 1 {
+				return stream(90, failure(KindBroken), "1"), nil
+			}
+			return whole(302), nil
+		}
+		if c := b.serve(t.Context(), "/note/x", nil); !c.Cut {
+			t.Errorf("the stream ends as whole after %q", c.events)
+		}
+	})
+}
+
 // TestDeadEndpointsDoNotCount has engines die one after the other under a stream.
 func TestDeadEndpointsDoNotCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -240,7 +240,7 @@
 		if answer.Moved {
 			t.endpoints.lost(s, KindNotSent)
 		}
-	case answer.Status >= http.StatusBadRequest:
+	case answer.Status >= http.StatusBadRequest, t.begun && answer.Next == nil: // A stream does not go on as a plain answer.
 		end.Result = attempt.ResultFailed
 		t.count()
 		r.rate(answer.Status >= http.StatusInternalServerError)
