Begin a stream with its first event, not with its head

What callers could see: a channel closed without an answer though they had received nothing, if their stream broke between the head and the first event and had no other place, or could not be resumed. In the same place a plain request gets 502 or 504, and one that may be repeated is repeated.

Cause: the pipeline took a stream for begun when its head was handed to the HTTP server, which keeps it until the first event is flushed. The class: a sign of work in place of the work. A begun stream can only go on or be cut.

Change: the head goes out with the first event, or with the proper end of a stream without one. Until then the request counts as unanswered. Nothing is sent later than before, since the head was never flushed by itself.

Evidence: TestHeadWithoutAnEvent failed before, two rows of three in three runs of three ('cut true, status 0'), and passes with the package under the race detector, three of three.

--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -25,12 +25,6 @@
 		}
 		return Result{Status: answer.Status, Header: answer.Header, Body: answer.Body, Reason: ReasonServed}, true
 	}
-	if !t.begun {
-		t.begun = true
-		t.release = r.endpoint.Release
-		t.weights = answer.Weights
-		t.reply.Begin(answer.Status, answer.Header)
-	}
 	err := t.pump(answer, r)
 	t.remember(r, t.clock.Mono())
 	if err == nil {
@@ -43,10 +37,10 @@
 	}
 	r.close()
 	if ctx.Err() != nil || errors.Is(err, errCaller) {
-		return Result{Reason: ReasonGone, Own: true, Cut: true}, true
+		return Result{Reason: ReasonGone, Own: true, Cut: t.begun}, true
 	}
 	resumable := t.route.Resumable && fault.KindOf[Kind](err) != KindOverrun
-	end := attempt.End{Sent: attempt.SentSome, Repeatable: t.repeatable(), Resumable: resumable, Begun: true, RanBefore: true}
+	end := attempt.End{Sent: attempt.SentSome, Repeatable: t.repeatable(), Resumable: resumable, Begun: t.begun, RanBefore: true}
 	t.runs-- // broken counts it again
 	t.broken(ctx, r, &end, err)
 	return t.follow(ctx, end, r)
@@ -64,6 +58,19 @@
 // errCaller marks a failed write to the caller.
 var errCaller = errors.New("the caller does not take the answer")
 
+// begin sends the head of a stream, with its first event or its end: until then the
+// caller has seen nothing, and any other answer may follow. It binds what goes on with
+// the stream to the release that began it.
+func (t *task) begin(r *run) {
+	if t.begun {
+		return
+	}
+	t.begun = true
+	t.release = r.endpoint.Release
+	t.weights = r.answer.Weights
+	t.reply.Begin(r.answer.Status, r.answer.Header)
+}
+
 // pump passes events on as they come until the stream's proper end.
 func (t *task) pump(answer *Answer, r *run) error {
 	began, events := t.clock.Mono(), 0
@@ -77,11 +84,13 @@
 	for {
 		event, err := answer.Next()
 		if errors.Is(err, io.EOF) {
+			t.begin(r)
 			return nil
 		}
 		if err != nil {
 			return err
 		}
+		t.begin(r)
 		events++
 		now := t.clock.Mono()
 		t.pause = max(t.pause, now-last)
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -320,6 +320,41 @@
 	}
 }
 
+// Guards against a channel that is closed without an answer because its stream broke
+// between the head and the first event, of which the caller has seen nothing.
+func TestHeadWithoutAnEvent(t *testing.T) {
+	rows := []struct {
+		name   string
+		then   func() *Answer
+		status int
+		events string
+	}{
+		{"no other place: an answer without a promise", turnedAway, 502, ""},
+		{"another place: the whole stream", func() *Answer { return stream(90, io.EOF, "1") }, 0, "1;"},
+		{"an endpoint's own failure is passed on", func() *Answer { return whole(500) }, 500, ""},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				b.answer = func(n int, _ *Attempt) (*Answer, error) {
+					if n == 1 {
+						return stream(90, failure(KindBroken)), nil
+					}
+					return row.then(), nil
+				}
+				c := b.serve(t.Context(), "/note/x", nil)
+				if c.Cut || c.Status != row.status || c.events != row.events {
+					t.Errorf("cut %v, status %d, events %q; want status %d, events %q", c.Cut, c.Status, c.events, row.status, row.events)
+				}
+				if begun := min(1, len(row.events)); c.begun != begun {
+					t.Errorf("%d heads, want %d", c.begun, begun)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a cut stream that looks whole since the endpoint that should go on
 // with it gives another kind of answer.
 func TestAStreamDoesNotGoOnAsAPlainAnswer(t *testing.T) {
