End an answer that its caller does not take

A caller that reads nothing and does not close, or is cut off with bytes under way, keeps its request for as long: the goroutine that passes its stream on stands in a write, so that no deadline ends the run, which keeps its slot and the channel to the replica; an answer of up to 256 KB stays in memory.

Cause: reads from replicas are bounded by the deadline, writes to callers were by nothing. Now they end 1 s after the request's deadline, or after the answer is there if that is later, as it may be on a machine that stood still.

Ruled out: that keep-alive probes end this; a caller that does not read answers them.

--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -151,6 +151,8 @@
 
 // Reply takes an answer to the caller.
 type Reply struct {
+	// Until takes the request's deadline on the monotonic clock, if it is set.
+	Until func(deadline clock.Millis)
 	// Begin sends the head of a stream.
 	Begin func(status int, header http.Header)
 	// Write sends one event.
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -79,6 +79,9 @@
 	if t.request.Wait > 0 {
 		t.deadline = min(t.deadline, t.request.Began+t.request.Wait)
 	}
+	if t.reply.Until != nil {
+		t.reply.Until(t.deadline)
+	}
 	t.after = t.request.After
 	if t.request.AnyModel && len(t.route.Ladder) > 0 {
 		t.model = t.route.Ladder[0]
