Bound a canary stream's pace by the old release's fastest where none runs under like load

Cause: a canary's stream was compared with the eleven of the old release's streams under the load nearest to its own, and here none was near: 1 to 3 requests at the canary's endpoints, 16 to 64 at nearly all of the old ones. The slow release took 102 to 130 ms an event, the old one 23 to 26 ms on idle endpoints, and 75 to 85 ms (median) on its busy ones, where prompts are read beside.

Evidence: a trial that logged each count, each look and each stream's pace and load. Ruled out: evidence lost as instances stop (readers' sums never fell behind by more than a look or two, and the canary's streams are counted at their sixth event or end), the duty's turn (the verdict was never reached before 20.2 s; all heard of it within 0.15 s).

Now, where the nearest streams ran beside more than twice the requests, the old release's fastest tenth bounds the pace to expect: fewer requests slow no stream.

TestNoLikeLoad saw 13 of 200 streams as slow before.

--- a/entry/forward/pace.go
+++ b/entry/forward/pace.go
@@ -30,6 +30,13 @@
 	// and the others crowded, so many streams set the measure anew.
 	paceStreams = 40
 	nearStreams = 11
+	// busierFactor says how many times more requests ran beside streams that are no
+	// longer like another, fewRequests beside how many a stream runs as if alone.
+	busierFactor = 2
+	fewRequests  = 4
+	// freePart is the fastest part of the streams, beside which no prompt was read;
+	// its last one is taken, as events that come late and together look fast.
+	freePart = 0.1
 	// slowPart is the part of the usual release's streams taken to be slower than
 	// paceFactor times the median: those beside which long prompts are read.
 	slowPart = 0.25
@@ -41,7 +48,7 @@
 // enough streams of the usual release are known, and takes one of that release.
 func (p *pace) compare(value float64, occupied int, usual bool) (slower, known bool) {
 	known = p.count >= nearStreams
-	slower = known && value > paceFactor*p.median(occupied)
+	slower = known && value > paceFactor*p.usual(occupied)
 	if usual {
 		p.streams[p.count%paceStreams] = loadedPace{value, occupied}
 		p.count++
@@ -49,9 +56,10 @@
 	return slower, known
 }
 
-// median returns the median of the usual release's streams under the load
-// nearest to the one given, the latest first.
-func (p *pace) median(occupied int) float64 {
+// usual returns the pace to expect of the usual release under a load: the median of
+// its streams under the load nearest to that, the latest first. If all its endpoints
+// are busier, its fastest streams bound the pace above: fewer requests slow none.
+func (p *pace) usual(occupied int) float64 {
 	latest := make([]loadedPace, 0, paceStreams)
 	for i := range min(p.count, paceStreams) {
 		latest = append(latest, p.streams[(p.count-1-i)%paceStreams])
@@ -59,9 +67,16 @@
 	slices.SortStableFunc(latest, func(a, b loadedPace) int {
 		return max(a.occupied-occupied, occupied-a.occupied) - max(b.occupied-occupied, occupied-b.occupied)
 	})
-	near := latest[:min(nearStreams, len(latest))]
+	near := slices.Clone(latest[:min(nearStreams, len(latest))])
+	slices.SortFunc(near, func(a, b loadedPace) int { return cmp.Compare(a.occupied, b.occupied) })
+	busier := near[len(near)/2].occupied > busierFactor*max(occupied, fewRequests)
 	slices.SortFunc(near, func(a, b loadedPace) int { return cmp.Compare(a.value, b.value) })
-	return near[len(near)/2].value
+	median := near[len(near)/2].value
+	if !busier {
+		return median
+	}
+	slices.SortFunc(latest, func(a, b loadedPace) int { return cmp.Compare(a.value, b.value) })
+	return min(median, latest[int(freePart*float64(len(latest)))].value)
 }
 
 func (e *endpoints) pace(model ticket.ModelName) *pace {
--- a/entry/forward/pace_test.go
+++ b/entry/forward/pace_test.go
@@ -39,3 +39,49 @@
 		}
 	}
 }
+
+// TestNoLikeLoad guards against a release several times slower whose idle endpoints
+// pass, as none of the old release's endpoints is as idle and prompts are read beside
+// nearly all of its streams.
+func TestNoLikeLoad(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	old := func(i int) (value float64, occupied int) {
+		occupied = 16 + random.IntN(32)
+		value = (23 + 0.5*float64(occupied)) * (0.95 + 0.15*random.Float64())
+		if i%4 > 0 {
+			value += 150 * random.Float64() // Prompts are read beside it.
+		}
+		if i%20 == 0 {
+			value = 0 // Its events came together, late.
+		}
+		return value, occupied
+	}
+	rows := []struct {
+		name        string
+		slowness    float64
+		least, most int
+	}{
+		{"as good", 1, 0, 5},
+		{"slow", 4.4, 160, 200},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			p := &pace{}
+			slower := 0
+			for i := range 400 {
+				value, occupied := old(i)
+				p.compare(value, occupied, true)
+				if i < 200 {
+					continue
+				}
+				value = 23 * row.slowness * (1 + 0.3*random.Float64())
+				if s, known := p.compare(value, 1+i%3, false); s && known {
+					slower++
+				}
+			}
+			if slower < row.least || slower > row.most {
+				t.Errorf("%d of 200 slow, want %d to %d", slower, row.least, row.most)
+			}
+		})
+	}
+}
