Count a run for the release by which it was sent, whatever the view says later

Whether a larger model should answer, and whether a silent endpoint is waited for, was asked by a query that also set the task's own view, arm and progress. One of the two put them back.

Cause: while traffic moves, an answer of the old release whose session's turn had come in between was compared and counted as one of the new release's, its pace was not kept as the old one's, and its log line said arm=new.

Change: a query returns the view, arm and progress that it was made by; only the choice of an endpoint takes them over.

Evidence: TestArmIsThatOfTheRun failed before (arm=new at an endpoint of v1, one stream counted as moved traffic) and passes, as the package does under the race detector.

--- a/entry/forward/escalate.go
+++ b/entry/forward/escalate.go
@@ -13,9 +13,9 @@
 		return false
 	}
 	larger := ladder[len(ladder)-1]
-	q := t.query()
+	q, next := t.query()
 	q.Tried, q.Model, q.Effort = nil, larger, t.service.Engine.Effort(larger)
-	room := t.endpoints.peek(t.view, t.service, q)
+	room := t.endpoints.peek(next.view, t.service, q)
 	if room.State == nil || t.runs >= t.route.Attempts || !t.endpoints.hasSpare(t.service.Name) {
 		return false
 	}
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -84,7 +84,7 @@
 // Serve carries a request to an end. It streams through reply, and returns what
 // else to answer.
 func (f *Forwarder) Serve(ctx context.Context, request *Request, reply Reply) Result {
-	t := &task{Forwarder: f, request: request, reply: reply, view: f.parts.Registry.View()}
+	t := &task{Forwarder: f, request: request, reply: reply, aim: aim{view: f.parts.Registry.View()}}
 	result := t.serve(ctx)
 	t.record(&result)
 	return result
--- a/entry/forward/patience.go
+++ b/entry/forward/patience.go
@@ -50,10 +50,8 @@
 
 // elsewhere reports whether another endpoint has room for the request now.
 func (t *task) elsewhere() bool {
-	view, arm, p := t.view, t.arm, t.progress
-	defer func() { t.view, t.arm, t.progress = view, arm, p }()
-	q := t.query()
-	return t.endpoints.peek(t.view, t.service, q).State != nil
+	q, next := t.query()
+	return t.endpoints.peek(next.view, t.service, q).State != nil
 }
 
 const (
--- a/entry/forward/record_test.go
+++ b/entry/forward/record_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/evidence"
 )
 
 // Guards against an answer that was broken off and whose line does not tell whether its
@@ -53,3 +56,34 @@
 		})
 	}
 }
+
+// Guards against evidence and a log line that take an answer of the old release for one
+// of the new one, because traffic moved while the answer was on its way.
+func TestArmIsThatOfTheRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		b := newBench()
+		b.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+		b.answer = func(int, *Attempt) (*Answer, error) { return stream(90, io.EOF, "1"), nil }
+		const span = 20 * clock.Second
+		order := b.order(5, span)
+		b.serve(t.Context(), "/note/x", nil) // The order's time begins.
+		session := "a"
+		for bucket(order, session) < 0.9 { // Its share comes last.
+			session += "a"
+		}
+		time.Sleep((span*3/4 - 100).Duration())
+		b.answer = func(int, *Attempt) (*Answer, error) {
+			time.Sleep(200 * time.Millisecond) // All traffic moves meanwhile.
+			return pacedStream(paceEvents, 10*time.Millisecond), nil
+		}
+		b.serve(t.Context(), "/note/x", func(r *Request) { r.Session = session })
+		lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+		if last := lines[len(lines)-1]; !strings.Contains(last, "release=v1") || !strings.Contains(last, "arm=old") {
+			t.Errorf("want an answer of the old release in %s", last)
+		}
+		if got := b.relay.Sum(Series(order, MovedRoute, evidence.ArmFrom)); got.Rated() > 0 {
+			t.Errorf("%+v counted as moved traffic", got)
+		}
+	})
+}
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -16,12 +16,19 @@
 	"foxtailbridge/policy/ticket"
 )
 
+// aim is the view by which a request is sent, and what it says of the request's release.
+type aim struct {
+	view     *registry.State
+	arm      Arm
+	progress *progress
+}
+
 // task carries one request through its attempts. It belongs to one goroutine.
 type task struct {
 	*Forwarder
-	request   *Request
-	reply     Reply
-	view      *registry.State
+	request *Request
+	reply   Reply
+	aim
 	route     *catalog.Route
 	service   *catalog.Service
 	workspace ticket.WorkspaceName
@@ -29,8 +36,6 @@
 	digest    quarantine.Digest
 
 	deadline clock.Millis
-	arm      Arm
-	progress *progress
 	model    ticket.ModelName
 	tried    []*placement.State
 	// runs counts attempts that may have run at endpoints that still live, sends
@@ -99,16 +104,15 @@
 	}
 }
 
-// query asks for an endpoint for the next attempt.
-func (t *task) query() *placement.Query {
-	t.view = t.parts.Registry.View()
+// query asks for an endpoint for an attempt by the view of now. What a run counts for is
+// the aim by which it was sent, so the task's own stays as it is.
+func (t *task) query() (*placement.Query, aim) {
+	next := aim{view: t.parts.Registry.View(), arm: t.arm, progress: t.progress}
 	var accept func(*catalog.Endpoint) bool
 	if t.release != "" {
-		release := t.release
-		view := t.view
-		accept = func(e *catalog.Endpoint) bool { return e.Release == release && view.Holds(e) }
+		accept = func(e *catalog.Endpoint) bool { return e.Release == t.release && next.view.Holds(e) }
 	} else {
-		t.arm, accept, t.progress = t.releases.pick(t.view, t.service.Name, t.sessionKey())
+		next.arm, accept, next.progress = t.releases.pick(next.view, t.service.Name, t.sessionKey())
 	}
 	patience := plainPatience
 	if t.service.Engine != nil {
@@ -116,9 +120,9 @@
 	}
 	patience += urgentPatience * float64(max(0, lowestRank-t.rank))
 	pack := ""
-	if t.release == "" && t.arm == ArmNew && t.progress.phase == rollout.PhaseLoad {
+	if t.release == "" && next.arm == ArmNew && next.progress.phase == rollout.PhaseLoad {
 		// A release that fails under load shows that on the first endpoints filled.
-		pack = string(t.progress.order.Target)
+		pack = string(next.progress.order.Target)
 	}
 	return &placement.Query{
 		Pack:     pack,
@@ -131,7 +135,7 @@
 		Tried:    t.tried,
 		Patience: patience,
 		Risky:    t.repeatable() && t.sends == 0,
-	}
+	}, next
 }
 
 // effort is what reading a token takes the request's model against the largest.
@@ -155,7 +159,8 @@
 	if t.late() {
 		return placement.Choice{Reason: routing.Reason(ReasonLate)}
 	}
-	q := t.query()
+	var q *placement.Query
+	q, t.aim = t.query()
 	choice := t.endpoints.choose(t.view, t.service, q)
 	if choice.State != nil {
 		return choice
