--- a/link/supervisor/supervisor.go
+++ b/link/supervisor/supervisor.go
@@ -3,7 +3,6 @@
 import (
 	"os"
 	"os/signal"
-	"sync"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
@@ -15,8 +14,8 @@
 type Signals struct {
 	stops   chan os.Signal
 	reloads chan os.Signal
-	once    sync.Once
-	stop    chan struct{}
+	// stop is closed by Run.
+	stop chan struct{}
 }
 
 // Catch takes the signals from now on; those that come before Run wait.
@@ -35,14 +34,16 @@
 	return s.stop
 }
 
-// Run handles signals for the rest of the process's life; reload is called for each
+// Run handles signals for the rest of the process's life and is called once; reload is called for each
 // request to read the settings again, also while the process drains.
 func (s *Signals) Run(logger hclog.Logger, reload func()) {
 	for {
 		select {
 		case signal := <-s.stops:
 			logger.Info("signal", "signal", signal.String(), "stopping", s.stopping())
-			s.once.Do(func() { close(s.stop) })
+			if !s.stopping() {
+				close(s.stop)
+			}
 		case signal := <-s.reloads:
 			logger.Info("signal", "signal", signal.String(), "stopping", s.stopping())
 			reload()
