Wait on for a plain answer, too, while no other endpoint has room

What callers saw: 502 for a request that may be repeated and whose endpoint was slow but alive, because its patience was over and no other endpoint had room.

Change: whether silence is waited out is asked for plain requests as well. Their limit is their patience as before; it ends the wait only if another endpoint has room, or if the endpoint is gone.

Evidence: TestPlainSilenceWithoutAnotherPlace failed before ('waits false, want true').

--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -770,12 +770,56 @@
 	}
 }
 
-// crowd has other instances fill all engines but one.
+// Guards against a plain request that may be repeated and leaves a slow endpoint for a
+// place that does not exist: it ended with 502.
+func TestPlainSilenceWithoutAnotherPlace(t *testing.T) {
+	rows := []struct {
+		name     string
+		occupied int
+		dead     bool
+		waits    bool
+	}{
+		{"the others are full", 60, false, true},
+		{"the others are full, and the endpoint is gone", 60, true, false},
+		{"another has room", 0, false, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				time.Sleep(time.Second) // Loads that no endpoint told are old by now.
+				b.answer = func(n int, a *Attempt) (*Answer, error) {
+					if n > 1 {
+						return whole(200), nil
+					}
+					time.Sleep(a.FirstBy.Duration())
+					b.dead[a.Endpoint.ID] = row.dead
+					b.crowd(row.occupied, a.Endpoint.ID)
+					if waits := a.Waits(); waits != row.waits {
+						t.Errorf("waits %v, want %v", waits, row.waits)
+					}
+					if !row.waits {
+						return nil, failure(KindSilent)
+					}
+					return whole(200), nil
+				}
+				c := b.serve(t.Context(), "/safe/x", nil)
+				if whole := row.occupied == 0 || row.waits; whole && c.Status != 200 {
+					t.Errorf("status %d", c.Status)
+				}
+			})
+		})
+	}
+}
+
+// crowd has other instances fill all endpoints but one.
 func (b *bench) crowd(occupied int, but routing.EndpointID) {
 	counts := map[routing.EndpointID]int{}
 	for i := range 4 {
-		if id := routing.EndpointID(fmt.Sprint("engines", i)); id != but {
-			counts[id] = occupied
+		for _, service := range []string{"engines", "plain"} {
+			if id := routing.EndpointID(fmt.Sprint(service, i)); id != but {
+				counts[id] = occupied
+			}
 		}
 	}
 	b.endpoints.others(counts)
--- a/entry/forward/patience.go
+++ b/entry/forward/patience.go
@@ -19,13 +19,13 @@
 		a.FirstBy = min(left, t.patience())
 	}
 	r.patience = a.FirstBy
-	a.Waits = func() bool { return t.route.Stream && r.waits(ctx) }
+	a.Waits = func() bool { return r.waits(ctx) }
 	return a
 }
 
 // waits decides whether silence is waited out. An engine that answers others is
-// busy with long prompts, not dead; and without another place to go on there is
-// no use in ending an answer while the endpoint lives.
+// busy with long prompts, not dead; and without another place there is no use in
+// giving one up, or in ending an answer, while the endpoint lives.
 func (r *run) waits(ctx context.Context) bool {
 	t := r.task
 	end := attempt.End{Sent: attempt.SentSome}
@@ -64,8 +64,12 @@
 	limitUsual = 5.0
 )
 
-// limit is the longest wait for an answer's head at an engine that answers others.
+// limit is the longest wait for an answer's head at an engine that answers others, and
+// at a plain endpoint, while another has room.
 func (t *task) limit(patience clock.Millis) clock.Millis {
+	if t.service.Engine == nil {
+		return patience
+	}
 	read := clock.Millis(placement.Tokens(t.request.Parts) / slowRead)
 	limit := clock.Millis(limitGoals*float64(t.route.Goal)) + read
 	if usual := float64(t.endpoints.expected(delayKey{t.route.Name, t.model})); usual > 0 {
