Bound a repeatable service call by its deadline, as other calls are

Callers would see: a call that may be repeated, to a service that takes it and never answers, or answers byte by byte, holds them, its place in the queue and its endpoint until they close; the service's deadline was looked at only before a dispatch.

Cause: the bound (deadline and 5 s for a call dispatched shortly before) stood on the way of calls that run once only. Now both have it; the outcome is unknown then.

--- a/entry/promises/answer_test.go
+++ b/entry/promises/answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -16,9 +17,11 @@
 	"foxtailbridge/link/chat"
 	"foxtailbridge/link/endpoint"
 	"foxtailbridge/policy/claim"
+	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/ticket"
 	"foxtailbridge/standin/applog"
 	"foxtailbridge/standin/engine"
+	"foxtailbridge/standin/service"
 )
 
 // text returns the answer that the caller got, whole or streamed.
@@ -299,3 +302,20 @@
 		})
 	}
 }
+
+// TestCallWithoutEnd guards against a service that takes a call and never answers it:
+// the caller of an idempotent one was held for as long, though it has a deadline.
+func TestCallWithoutEnd(t *testing.T) {
+	const deadline, grace = 5 * time.Second, 5 * time.Second // Those of the ticket and of the router.
+	for _, call := range []string{"lookup", "refund"} {
+		inWorld(t, call, instance.Options{}, func(w *world) {
+			a, _ := w.small()
+			w.services["stock-a"].SetFaults(service.Faults{Delay: clock.Minute})
+			began := time.Now()
+			got := a.send(http.MethodPost, "/v1/services/stock/"+call, "{}")
+			So(time.Since(began), ShouldBeLessThanOrEqualTo, deadline+grace)
+			So(got.status, ShouldEqual, http.StatusBadGateway)
+			So(got.outcome, ShouldEqual, claim.StateUnknown)
+		})
+	}
+}
--- a/entry/router/call.go
+++ b/entry/router/call.go
@@ -69,12 +69,15 @@
 	}
 	defer r.queue.leave(place)
 	r.Reached(StepAdmitted, request.ID)
+	if !j.idempotent {
+		// A claimed request is not cut when its caller goes away.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, max(0, j.deadline-r.clock.Mono()).Duration()+callGrace)
+	defer cancel()
 	if j.idempotent {
 		return j.runIdempotent(ctx)
 	}
-	// A claimed request is not cut when its caller goes away.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(0, j.deadline-r.clock.Mono()).Duration()+callGrace)
-	defer cancel()
 	return j.runOnce(ctx)
 }
 
