Let only text begin the wait for an engine's next text anew

Callers of a chat would see: a stream that stands still while its engine sends events without text, slowly: each began the wait of 10 s anew, so that it held its caller and its engine until 128 KB of them had come, some 18 hours at one of 20 bytes in 10 s.

Cause: bounded what comes between two pieces of text in bytes, not in time. Before the first text the caller's deadline holds, so events without text, as of an engine that reads a long prompt, still begin the wait anew there, unless the stream goes on behind text of another engine.

Evidence (TestTrickledEvents, an idle time of 200 ms, an event each 20 ms; before): the streams lasted the 2.1 s for which the test's engine sends, "incomplete"; after: "broken" within 1 s, and another engine may go on.

--- a/link/endpoint/endless_test.go
+++ b/link/endpoint/endless_test.go
@@ -11,7 +11,9 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/fault"
 )
 
@@ -124,3 +126,48 @@
 		})
 	}
 }
+
+// TestTrickledEvents guards against an endpoint that sends events without text, slowly:
+// each began the wait for the next piece of text anew.
+func TestTrickledEvents(t *testing.T) {
+	const idle, pause = 200 * clock.Millis(1), 20 * clock.Millis(1)
+	token := "data: " + tokenA + "\n\n"
+	rows := []struct {
+		name     string
+		begin    string
+		resumeAt int
+		kind     Kind
+	}{
+		{"behind some text", token, 0, KindBroken},
+		{"in a stream that goes on", "", 1, KindBroken},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/load" {
+					fmt.Fprint(w, `{"boot-id":"b1","phase":"warm","slots":1}`)
+					return
+				}
+				w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
+				fmt.Fprint(w, row.begin)
+				for range 100 {
+					fmt.Fprint(w, `data: {"choices":[]}`+"\n\n")
+					if http.NewResponseController(w).Flush() != nil || r.Context().Err() != nil {
+						return
+					}
+					time.Sleep(pause.Duration())
+				}
+			}))
+			defer server.Close()
+			e := New(server.URL, WithIdle(idle))
+			began := time.Now()
+			_, err := e.Stream(context.Background(), &Attempt{ID: "1"}, &StreamRequest{Body: []byte("{}"), ResumeAt: row.resumeAt}, func(string) error { return nil })
+			if kind := fault.KindOf[Kind](err); kind != row.kind {
+				t.Errorf("kind %q, want %q: %v", kind, row.kind, err)
+			}
+			if took := time.Since(began); took > 5*idle.Duration() {
+				t.Errorf("the stream took %v, want at most %v", took, 5*idle.Duration())
+			}
+		})
+	}
+}
--- a/link/endpoint/endpoint.go
+++ b/link/endpoint/endpoint.go
@@ -218,6 +218,6 @@
 const (
 	DefaultReportTimeout = clock.Second
 	DefaultDialTimeout   = clock.Second
-	// DefaultIdle bounds the wait for the next event of a stream.
+	// DefaultIdle bounds the wait for the next text of a stream.
 	DefaultIdle = 10 * clock.Second
 )
--- a/link/endpoint/options.go
+++ b/link/endpoint/options.go
@@ -30,7 +30,7 @@
 	return func(o *options) { o.seeBoot = see }
 }
 
-// WithIdle bounds the wait for the next event of a stream.
+// WithIdle bounds the wait for the next text of a stream.
 func WithIdle(span clock.Millis) Option {
 	return func(o *options) { o.idle = span }
 }
--- a/link/endpoint/stream.go
+++ b/link/endpoint/stream.go
@@ -35,7 +35,7 @@
 	CompletionTokens int
 }
 
-var errIdle = errors.New("no event within the idle timeout")
+var errIdle = errors.New("no text within the idle timeout")
 
 // stream carries one streamed attempt.
 type stream struct {
@@ -45,6 +45,7 @@
 	attempt *Attempt
 	request *StreamRequest
 	body    *progress
+	idle    *time.Timer
 	chunks  int
 	// text is the length of the answer so far in bytes.
 	text int
@@ -54,8 +55,8 @@
 func (s *stream) run(parent context.Context, emit func(string) error) (*StreamEnd, error) {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	idle := time.AfterFunc(s.options.idle.Duration(), func() { cancel(errIdle) })
-	defer idle.Stop()
+	s.idle = time.AfterFunc(s.options.idle.Duration(), func() { cancel(errIdle) })
+	defer s.idle.Stop()
 	response, err := s.send(ctx)
 	if err != nil {
 		if context.Cause(ctx) == errIdle {
@@ -73,13 +74,15 @@
 		if err != nil {
 			return nil, s.readError(parent, ctx, err)
 		}
-		idle.Reset(s.options.idle.Duration())
+		if s.request.ResumeAt+s.chunks == 0 { // The caller's deadline bounds the wait for the first text.
+			s.idle.Reset(s.options.idle.Duration())
+		}
 		done, err := s.take(event.Data, emit)
 		if err != nil {
 			return nil, err
 		}
 		if done {
-			idle.Reset(drainWait.Duration())
+			s.idle.Reset(drainWait.Duration())
 			return s.finish(response.Body)
 		}
 	}
@@ -163,6 +166,7 @@
 			return false, fault.New("stream", KindOverrun, "more text than was asked for, or than %d bytes", maxText)
 		}
 		s.body.made()
+		s.idle.Reset(s.options.idle.Duration())
 		if err := emit(choice.Delta.Content); err != nil {
 			return false, fault.New("stream", KindCanceled, "emit: %w", err)
 		}
