Bound the time for a caller's body in the product's own interface too

An instance would see: a body that a caller sends byte by byte keeps its channel, a goroutine and what came of it (up to 4 MB) until the caller closes, also of a caller without a key, whose body the server reads to use the channel again.

Cause: bounded the time for bodies at the platform's interface only. Now a body has 30 s; then 408, whose outcome says that nothing ran, and the channel ends.

Evidence (TestTrickledBody, virtual time, a byte a second; before): the channel was kept for the 999 s that the test sends, without an answer; after: less than a minute, 408 for a known caller and 401 for an unknown one.

--- a/entry/callerhttp/callerhttp.go
+++ b/entry/callerhttp/callerhttp.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
+	"time"
 
 	"foxtailbridge/entry/router"
 	"foxtailbridge/link/caller"
@@ -21,6 +23,8 @@
 const (
 	DefaultMaxBody = 4 << 20
 	maxKeyLength   = 255
+	// maxBodyTime bounds the time for a body; 4 MiB take 4 s at 8 Mbit/s.
+	maxBodyTime = 30 * clock.Second
 )
 
 // Server serves the callers of one instance.
@@ -54,7 +58,18 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		writeNotRun(w, http.StatusNotFound, caller.CodeNotFound, "no such path; see docs/CALLERS.md")
 	})
-	return mux
+	return withBodyTime(mux)
+}
+
+// withBodyTime bounds the time for a request's body, read by its handler or not.
+func withBodyTime(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			// A channel that is gone fails its next read.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(maxBodyTime.Duration()))
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
@@ -102,8 +117,15 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		writeNotRun(w, http.StatusRequestEntityTooLarge, caller.CodeTooLarge, "the body is larger than 4 MiB")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// The server would wait for the rest to use the channel again.
+		w.Header().Set("Connection", "close")
+		writeNotRun(w, http.StatusRequestTimeout, caller.CodeBadRequest, "the body did not come in time")
 	case err != nil:
 		writeNotRun(w, http.StatusBadRequest, caller.CodeBadRequest, "the body could not be read: "+err.Error())
+	default:
+		// Else the answer would end with the body's time.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
 	return body, err == nil
 }
