Fill a few endpoints of a new release while all traffic moves, too

Cause: half of the sessions get the new release for 0.15 of the order's time, packed onto one endpoint. On so calm a deployment that reaches 23 of 64 slots at the end of the span, or passes 32 for about a second at its end. As all traffic moved it was spread at once: the endpoint had 42 requests in one look, 33 in the next, 5 like all others one and a half seconds later, so nothing failed until the order was completed.

Evidence: trials that logged each count and the requests at each endpoint at each look. Ruled out: answers lost on the way to the readers (all readers had the same counts), and the spread over endpoints (one of one that was filled).

Now requests are packed while all traffic moves as well, so that twice as many sessions fill the same endpoint.

TestFillsEndpointsWhileAllMoves had 12 of 40 requests at the busiest endpoint before.

--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -756,3 +756,52 @@
 		}
 	})
 }
+
+// TestFillsEndpointsWhileAllMoves guards against a release that fails under load and
+// is completed, as on a calm deployment half of the sessions fill no endpoint.
+func TestFillsEndpointsWhileAllMoves(t *testing.T) {
+	const (
+		span     = 20 * clock.Second
+		requests = 40
+	)
+	rows := []struct {
+		name string
+		wait time.Duration
+		// filled is how many requests the busiest endpoint has at least.
+		filled int
+	}{
+		{"half of the sessions", 13 * time.Second, requests / 3},
+		{"all of them", 16 * time.Second, requests},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				b.answer = func(int, *Attempt) (*Answer, error) { return pacedStream(20, 100*time.Millisecond), nil }
+				order := b.order(5, span)
+				for i := range 3 {
+					id := routing.EndpointID(fmt.Sprint("more", i))
+					b.facts[string(id)+"x"] = registry.Fact{Endpoint: &catalog.Endpoint{ID: id, Born: 1, Service: "engines", Zone: "a", Release: "v2", Slots: 600}}
+					at := registry.Offset(9 + i)
+					b.registry.Merge(registry.Batch{Feed: registry.FeedEndpoints, Records: []registry.Record{{Key: string(id), Value: []byte("x"), Offset: at}}, From: at, Head: at + 1})
+				}
+				time.Sleep(row.wait)
+				for i := range requests {
+					go b.serve(t.Context(), "/note/x", func(r *Request) {
+						r.ID, r.Session = RequestID(fmt.Sprint(i)), fmt.Sprint("session", i)
+						r.Parts = []placement.Part{{ID: "s", Tokens: 100}, {ID: placement.PartID(fmt.Sprint("own", i)), Tokens: 100}}
+					})
+					synctest.Wait()
+				}
+				occupied, most := b.Occupied("engines", order.Target), 0
+				for _, n := range occupied {
+					most = max(most, n)
+				}
+				if most < row.filled {
+					t.Errorf("%v, want %d at one of them", occupied, row.filled)
+				}
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -11,7 +11,6 @@
 	"foxtailbridge/policy/fault"
 	"foxtailbridge/policy/placement"
 	"foxtailbridge/policy/quarantine"
-	"foxtailbridge/policy/rollout"
 	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/ticket"
 )
@@ -113,7 +112,7 @@
 	}
 	patience += urgentPatience * float64(max(0, lowestRank-t.rank))
 	pack := ""
-	if t.release == "" && t.arm == ArmNew && t.progress.phase == rollout.PhaseLoad {
+	if t.release == "" && t.arm == ArmNew && t.progress.phase.Fills() {
 		// A release that fails under load shows that on the first endpoints filled.
 		pack = string(t.progress.order.Target)
 	}
--- a/policy/rollout/canary.go
+++ b/policy/rollout/canary.go
@@ -20,7 +20,8 @@
 	// PhaseLoad sends a large share of them, to as few endpoints as can bear them:
 	// a release that fails under load does so there.
 	PhaseLoad Phase = "load"
-	// PhaseFull sends all of them and watches.
+	// PhaseFull sends all of them, to as few endpoints still: on a calm deployment a
+	// large share fills none.
 	PhaseFull Phase = "full"
 	// PhaseDone allows the order to be completed.
 	PhaseDone Phase = "done"
@@ -62,6 +63,11 @@
 	return PhaseCanary
 }
 
+// Fills reports whether requests go to as few endpoints as can bear them.
+func (p Phase) Fills() bool {
+	return p == PhaseLoad || p == PhaseFull
+}
+
 // FirstShare returns the share of sessions for the new release when its canary begins.
 func FirstShare(bound float64) float64 {
 	return canaryPart * bound
