Tell a peer again what was in an answer that it did not get

An instance that the answers of its peer do not reach, while its questions do, never hears of the sessions to keep on a release and of the requests that crash endpoints which the lost answers told of.

Cause: such news counted as told to a peer when the answer was written. A question that failed was made good by its sender; of an answer that is lost the sender hears nothing.

Change: a question says that the last answer did not arrive; its receiver then tells everything once more.

Evidence: TestNewsInALostAnswer failed before, three runs of three, and passes; the package passes under the race detector. Ruled out: records and loads, whose receivers say what they hold, and tallies, which are told whole.

--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -45,6 +45,12 @@
 	leaving bool
 }
 
+// tellAgain has the next message tell everything that is told once: the peer may have
+// missed the last one.
+func (p *peer) tellAgain() {
+	p.suspicions, p.holds = 0, 0
+}
+
 // members is the set of known instances. Its methods take the lock.
 type members struct {
 	mu    sync.Mutex
@@ -76,6 +82,15 @@
 	return p
 }
 
+// tellAgain is the peer's of the name.
+func (m *members) tellAgain(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[name]; p != nil {
+		p.tellAgain()
+	}
+}
+
 func (m *members) alive(p *peer, now clock.Millis) bool {
 	return now-p.heard < aliveSpan && !p.leaving
 }
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -50,6 +50,8 @@
 	Members []Heard `json:"members,omitempty"`
 	// Asks is true if the sender wants members in the answer.
 	Asks bool `json:"asks,omitempty"`
+	// Missed is true if the receiver's last answer did not arrive.
+	Missed bool `json:"missed,omitempty"`
 	// Count is the number of instances that the sender counts.
 	Count int `json:"count,omitempty"`
 	// Heads say up to where the sender knows each feed.
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -82,8 +82,10 @@
 	turn    int
 	leaving bool
 	clients map[string]*connect.Client[Message, Message]
-	met     bool
-	urged   chan struct{}
+	// missed holds the addresses whose last answer did not arrive.
+	missed map[string]bool
+	met    bool
+	urged  chan struct{}
 }
 
 // New returns a Relay of an instance that at first knows the addresses of some peers.
@@ -101,6 +103,7 @@
 		stops:   map[catalog.OrderNumber]bool{},
 		held:    map[Hold]bool{},
 		clients: map[string]*connect.Client[Message, Message]{},
+		missed:  map[string]bool{},
 		urged:   make(chan struct{}, 1),
 	}
 }
@@ -114,6 +117,9 @@
 func (r *Relay) serve(_ context.Context, request *connect.Request[Message]) (*connect.Response[Message], error) {
 	now := r.parts.Clock.Mono()
 	r.take(request.Msg, now)
+	if request.Msg.Missed {
+		r.members.tellAgain(request.Msg.From.Name)
+	}
 	return connect.NewResponse(r.message(request.Msg.From.Name, now, request.Msg.Asks)), nil
 }
 
@@ -213,12 +219,16 @@
 		client = connect.NewClient[Message, Message](socket.Bound(r.parts.Client, maxMessage), "http://"+address+procedure, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessage))
 		r.clients[address] = client
 	}
+	missed := r.missed[address]
 	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, exchangeWait)
 	defer cancel()
-	answer, err := client.CallUnary(ctx, connect.NewRequest(r.question(name, asks)))
+	question := r.question(name, asks)
+	question.Missed = missed
+	answer, err := client.CallUnary(ctx, connect.NewRequest(question))
 	now := r.parts.Clock.Mono()
 	r.parts.Scope.Counter("exchanges").Inc(1)
+	r.noteMissed(address, err != nil)
 	if err != nil {
 		r.fail(name, address, err, now)
 		return false
@@ -227,6 +237,17 @@
 	return true
 }
 
+// noteMissed notes whether the last answer of an address was lost.
+func (r *Relay) noteMissed(address string, missed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if missed {
+		r.missed[address] = true
+		return
+	}
+	delete(r.missed, address)
+}
+
 // question builds the message that opens an exchange.
 func (r *Relay) question(to string, asks bool) *Message {
 	m := r.message(to, r.parts.Clock.Mono(), false)
@@ -243,7 +264,7 @@
 		return
 	}
 	p.retry = now + retryPause
-	p.suspicions, p.holds = 0, 0 // It may have missed the last ones.
+	p.tellAgain()
 	if !p.failing {
 		p.failing = true
 		r.logger.Info("peer-lost", "peer", name, "address", address, "heard-ms", int64(now-p.heard), "error", err)
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -31,13 +31,15 @@
 
 // fleet is a number of relays in one process, over a network with cuts.
 type fleet struct {
-	// mu guards handlers, cut and deaf.
+	// mu guards handlers, cut, lost and deaf.
 	mu       sync.Mutex
 	handlers map[string]http.Handler
 	relays   []*Relay
 	stores   []*registry.Registry
 	// cut reports whether two addresses cannot reach each other.
 	cut func(from, to string) bool
+	// lost reports whether the answers to an address are lost; the questions arrive.
+	lost func(to string) bool
 	// deaf reports whether the store turns an instance away.
 	deaf  func(name string) bool
 	reads atomic.Int64
@@ -69,6 +71,9 @@
 	handler.ServeHTTP(recorder, r)
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
+	if w.fleet.lost(w.from) {
+		return nil, errCutOff
+	}
 	for _, address := range []string{w.from, r.URL.Host} {
 		w.fleet.bytes[address] += int(r.ContentLength) + recorder.Body.Len()
 	}
@@ -80,7 +85,7 @@
 }
 
 func newPreparedFleet(ctx context.Context, zones, perZone int, prepare func(i int, r *Relay)) *fleet {
-	f := &fleet{handlers: map[string]http.Handler{}, bytes: map[string]int{}, cut: func(string, string) bool { return false }, deaf: func(string) bool { return false }, prepare: prepare}
+	f := &fleet{handlers: map[string]http.Handler{}, bytes: map[string]int{}, cut: func(string, string) bool { return false }, lost: func(string) bool { return false }, deaf: func(string) bool { return false }, prepare: prepare}
 	f.offset.Store(1)
 	seeds := []string{"z0-0", "z1-0"}
 	for z := range zones {
@@ -250,6 +255,46 @@
 	})
 }
 
+// Guards against news that an instance never hears of because the answer with them was
+// lost on its way: they counted as told once they were written down.
+func TestNewsInALostAnswer(t *testing.T) {
+	inBubble(t, func(ctx context.Context) {
+		f := newFleet(ctx, 1, 3)
+		time.Sleep(10 * time.Second)
+		var reader, member *Relay
+		for _, r := range f.relays {
+			if r.Rank() == 0 {
+				reader = r
+			} else {
+				member = r
+			}
+		}
+		to := member.Self().Name
+		f.mu.Lock()
+		// Nothing reaches the member, whose own questions arrive.
+		f.cut = func(_, address string) bool { return address == to }
+		f.lost = func(address string) bool { return address == to }
+		f.mu.Unlock()
+		hold := Hold{Order: 3, Session: 1}
+		reader.Hold(hold)
+		for i := range 3 {
+			reader.Suspect(quarantine.Suspicion{Digest: "d", Crash: quarantine.Crash(fmt.Sprint("e", i))})
+		}
+		time.Sleep(3 * time.Second)
+		f.mu.Lock()
+		f.cut = func(string, string) bool { return false }
+		f.lost = func(string) bool { return false }
+		f.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		if !member.Held(hold) {
+			t.Error("the member does not know of the session")
+		}
+		if member.Judge("d") != quarantine.VerdictQuarantined {
+			t.Error("the member does not know of the request that crashes endpoints")
+		}
+	})
+}
+
 // TestForgetDuringAMessage has an order end while a message with its holds waits to
 // be encoded.
 func TestForgetDuringAMessage(t *testing.T) {
