Log the span of an order's time that decided on its release

The line has the span's counts now, with the endpoints that gave its bad answers and those reached. No change in what is decided.

--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -168,12 +168,14 @@
 		case forward.MovedRoute:
 			prior = forward.MovedRate
 		}
-		verdict := rollout.JudgeSpans(spans, prior)
+		verdict, decisive := rollout.JudgeSpans(spans, prior)
 		if verdict == rollout.VerdictContinue {
 			continue
 		}
 		fields := []any{"service", order.Service, "target", order.Target, "order", order.Number, "route", route,
-			"good", t.to.Good, "bad", t.to.Bad, "old-good", t.from.Good, "old-bad", t.from.Bad, "bad-endpoints", len(t.bad), "busy", busy(w.history, nil)}
+			"good", t.to.Good, "bad", t.to.Bad, "old-good", t.from.Good, "old-bad", t.from.Bad, "bad-endpoints", len(t.bad), "busy", busy(w.history, nil),
+			"span-good", decisive.To.Good, "span-bad", decisive.To.Bad, "span-old-good", decisive.From.Good, "span-old-bad", decisive.From.Bad,
+			"span-bad-endpoints", decisive.Bad, "span-reached", decisive.Reached}
 		if verdict == rollout.VerdictEndpoints {
 			d.logger.Info("endpoints-bad", fields...)
 			continue
--- a/policy/rollout/canary.go
+++ b/policy/rollout/canary.go
@@ -125,17 +125,18 @@
 const VerdictEndpoints Verdict = "endpoints"
 
 // JudgeSpans judges the new release by several spans of an order's time, so that
-// a release that turns bad late is not excused by what came before.
-func JudgeSpans(spans []Span, prior float64) Verdict {
-	verdict := VerdictContinue
+// a release that turns bad late is not excused by what came before. It returns
+// the span that decided, too.
+func JudgeSpans(spans []Span, prior float64) (Verdict, Span) {
+	verdict, decisive := VerdictContinue, Span{}
 	for _, s := range spans {
 		if s.To.Bad < minBad || Judge(s.From, s.To, prior) != VerdictStop {
 			continue
 		}
 		if s.spread() {
-			return VerdictStop
+			return VerdictStop, s
 		}
-		verdict = VerdictEndpoints
+		verdict, decisive = VerdictEndpoints, s
 	}
-	return verdict
+	return verdict, decisive
 }
--- a/policy/rollout/canary_test.go
+++ b/policy/rollout/canary_test.go
@@ -50,7 +50,7 @@
 	}
 	Convey("Verdicts", t, func() {
 		for _, row := range rows {
-			got := JudgeSpans([]Span{{From: row.from, To: row.to, Bad: 6, Reached: 6}}, 0.95)
+			got, _ := JudgeSpans([]Span{{From: row.from, To: row.to, Bad: 6, Reached: 6}}, 0.95)
 			SoMsg(row.name, got, ShouldEqual, row.want)
 		}
 	})
@@ -59,7 +59,16 @@
 		recent := evidence.Tally{Good: 9, Bad: 9}
 		from := evidence.Tally{Good: 4000, Bad: 40}
 		So(Judge(from, whole, 0.95), ShouldEqual, VerdictContinue)
-		So(JudgeSpans([]Span{{from, whole, 6, 6}, {from, recent, 6, 6}}, 0.95), ShouldEqual, VerdictStop)
+		verdict, decisive := JudgeSpans([]Span{{from, whole, 6, 6}, {from, recent, 6, 6}}, 0.95)
+		So(verdict, ShouldEqual, VerdictStop)
+		So(decisive, ShouldResemble, Span{from, recent, 6, 6})
+	})
+	Convey("The span that decided is told, also where only endpoints are at fault", t, func() {
+		from := evidence.Tally{Good: 4000, Bad: 40}
+		sick := Span{from, evidence.Tally{Good: 30, Bad: 15}, 2, 18}
+		verdict, decisive := JudgeSpans([]Span{sick, {from, evidence.Tally{Good: 9}, 0, 18}}, 0.95)
+		So(verdict, ShouldEqual, VerdictEndpoints)
+		So(decisive, ShouldResemble, sick)
 	})
 }
 
