Test the drain's promises that no test guarded

TestDrainTakesWhatArrivesBeforeTheReaderIsAwake, TestDrainWaitsForANewChannelsRequest and TestDrainIsNotPutToSleep are new; TestDrainEndsLateChannels waits for the moment itself, not for a time. Reads of these tests end after 10 s instead of hanging. The code is unchanged.

--- a/link/socket/channels_test.go
+++ b/link/socket/channels_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -19,13 +21,22 @@
 }
 
 func serve(t *testing.T, wrap func(net.Listener) net.Listener, handler http.HandlerFunc) *fixture {
+	t.Helper()
+	return serveAfter(t, wrap, handler, func(http.ConnState) {})
+}
+
+// serveAfter also calls after behind each change of a channel's state.
+func serveAfter(t *testing.T, wrap func(net.Listener) net.Listener, handler http.HandlerFunc, after func(http.ConnState)) *fixture {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	f := &fixture{set: NewChannels(), addr: l.Addr().String()}
-	f.server = &http.Server{Handler: handler, ConnState: f.set.State}
+	f.server = &http.Server{Handler: handler, ConnState: func(conn net.Conn, state http.ConnState) {
+		f.set.State(conn, state)
+		after(state)
+	}}
 	tracked := f.set.Listener(wrap(l))
 	go func() { _ = f.server.Serve(tracked) }() // The test closes it.
 	t.Cleanup(func() { f.server.Close() })
@@ -41,6 +52,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { conn.Close() })
+	if err := conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
 	return conn, bufio.NewReader(conn)
 }
 
@@ -162,6 +176,111 @@
 	}
 }
 
+// sleepy has readers that wake up late.
+type sleepy struct {
+	net.Listener
+	read          atomic.Bool
+	asleep, awake chan struct{}
+}
+
+func (l *sleepy) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &sleepyConn{TCPConn: conn.(*net.TCPConn), set: l}, nil
+}
+
+type sleepyConn struct {
+	*net.TCPConn
+	set *sleepy
+}
+
+// Read ends, the first time, with its deadline once it is told to, whatever has arrived.
+func (c *sleepyConn) Read(p []byte) (int, error) {
+	if c.set.read.Swap(true) {
+		return c.TCPConn.Read(p)
+	}
+	c.set.asleep <- struct{}{}
+	<-c.set.awake
+	return 0, os.ErrDeadlineExceeded
+}
+
+// Guards against a request that has arrived by the time that its channel's reader is
+// awake and is cut all the same, and against a drain that is over before.
+func TestDrainTakesWhatArrivesBeforeTheReaderIsAwake(t *testing.T) {
+	l := &sleepy{asleep: make(chan struct{}), awake: make(chan struct{})}
+	f := serve(t, func(in net.Listener) net.Listener { l.Listener = in; return l }, func(http.ResponseWriter, *http.Request) {})
+	conn, reader := f.dial(t)
+	<-l.asleep
+	drained := make(chan int, 1)
+	go func() { drained <- f.set.Drain(context.Background()) }()
+	time.Sleep(firstRequest + 50*time.Millisecond) // The reader is woken.
+	ask(t, conn)
+	time.Sleep(20 * time.Millisecond)
+	select {
+	case <-drained:
+		t.Error("the drain is over while a reader decides")
+	default:
+	}
+	close(l.awake)
+	if !answered(reader) {
+		t.Error("no answer")
+	}
+}
+
+// Guards against a drain that is over before a new channel could send its request.
+func TestDrainWaitsForANewChannelsRequest(t *testing.T) {
+	accepted := make(chan struct{})
+	f := serveAfter(t, plain, func(http.ResponseWriter, *http.Request) {}, func(state http.ConnState) {
+		if state == http.StateNew {
+			close(accepted)
+		}
+	})
+	conn, reader := f.dial(t)
+	<-accepted
+	drained := make(chan int, 1)
+	go func() { drained <- f.set.Drain(context.Background()) }()
+	time.Sleep(firstRequest / 3)
+	select {
+	case <-drained:
+		t.Error("the drain is over while a request may come")
+	default:
+	}
+	ask(t, conn)
+	if !answered(reader) {
+		t.Error("no answer")
+	}
+}
+
+// Guards against a drain that waits for an idle channel whose reader the server puts
+// to sleep just after the drain woke it.
+func TestDrainIsNotPutToSleep(t *testing.T) {
+	idle, on := make(chan struct{}), make(chan struct{})
+	f := serveAfter(t, plain, func(http.ResponseWriter, *http.Request) {}, func(state http.ConnState) {
+		if state == http.StateIdle {
+			close(idle)
+			<-on
+		}
+	})
+	conn, reader := f.dial(t)
+	ask(t, conn)
+	if !answered(reader) {
+		t.Fatal("no answer")
+	}
+	<-idle
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	drained := make(chan int, 1)
+	go func() { drained <- f.set.Drain(ctx) }()
+	time.Sleep(20 * time.Millisecond) // The channel's reader is woken.
+	close(on)
+	<-drained
+	if ctx.Err() != nil {
+		t.Error("the drain took all its time")
+	}
+}
+
 // Guards against a request that is cut because only a part of its head was in when
 // the drain began; http.Server.Shutdown does that on new and on kept channels.
 func TestDrainTakesAHeadInParts(t *testing.T) {
@@ -301,7 +420,11 @@
 	defer cancel()
 	drained := make(chan int, 1)
 	go func() { drained <- f.set.Drain(ctx) }()
-	time.Sleep(firstRequest + 20*time.Millisecond)
+	for late := false; !late; time.Sleep(time.Millisecond) {
+		f.set.mu.Lock()
+		late = f.set.late
+		f.set.mu.Unlock()
+	}
 	l.on <- struct{}{}
 	close(hold)
 	<-drained
