Never wait for the log's reader in the product's own program, too

What callers would see: no answers at all, and an instance that does not end at SIGTERM, while the reader of its log does not read: each line was written by whoever had it.

Change: the log goes through the queue that the platform's program has.

Evidence: TestStuckLogReader waited two minutes in vain for an answer before, and passes after, as TestTerminatedUnderLoad and TestSignalsInSeries do. The stand-ins and the operators' program write where their user looks; they are left as they are.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -35,7 +35,9 @@
 
 // serve runs an instance until a signal asks it to stop.
 func serve(ctx context.Context, s *settings.Entry, signals *supervisor.Signals) error {
-	logger := telemetry.NewLogger(s.Instance, s.LogLevel, os.Stderr)
+	queue := telemetry.NewQueue(os.Stderr)
+	defer queue.Close()
+	logger := telemetry.NewLogger(s.Instance, s.LogLevel, queue)
 	metrics, metricsHandler, closer := telemetry.NewMetrics("foxtailbridge")
 	defer closer.Close()
 	i, err := instance.New(s, outside(s), clock.New(), logger, metrics, instance.Options{})
--- a/loadtest/processes/processes_test.go
+++ b/loadtest/processes/processes_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -174,3 +177,46 @@
 		}
 	})
 }
+
+// Guards against an instance that serves nobody, and does not stop, because the reader
+// of its log does not read.
+func TestStuckLogReader(t *testing.T) {
+	t.Parallel()
+	s := newStack(t)
+	e, path := s.settings("a", "a")
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reader.Close()
+	defer writer.Close()
+	if err := writer.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = writer.Write(make([]byte, 1<<20)) // It ends when the pipe is full.
+	command := exec.Command(filepath.Join(binaries, "entry"), "run", "-settings", path)
+	command.Stderr = writer
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	exited := make(chan error, 1)
+	go func() { exited <- command.Wait() }()
+	defer func() { _ = command.Process.Kill() }() // It may be gone.
+	s.await("an answer", func() bool {
+		response := s.post(e, "/v1/chat/completions", "{}", "")
+		if response == nil {
+			return false
+		}
+		response.Body.Close()
+		return true
+	})
+	_ = command.Process.Signal(syscall.SIGTERM)
+	select {
+	case err := <-exited:
+		if err != nil {
+			t.Errorf("the process ended with %v", err)
+		}
+	case <-time.After(patience):
+		t.Error("the process does not stop")
+	}
+}
--- a/loadtest/processes/stack_test.go
+++ b/loadtest/processes/stack_test.go
@@ -183,6 +183,18 @@
 
 // entry starts an entry instance.
 func (s *stack) entry(name, zone string) *entryProcess {
+	e, path := s.settings(name, zone)
+	e.process = s.start(name, "entry", "run", "-settings", path)
+	s.entries[name] = e
+	s.listing.Instances = append(s.listing.Instances, map[string]string{"id": name, "zone": zone, "peer": e.peer, "presence": "live"})
+	if err := s.put(s.directory, "/listing", s.listing); err != nil {
+		s.t.Fatal(err)
+	}
+	return e
+}
+
+// settings writes the settings of an entry instance and returns their path.
+func (s *stack) settings(name, zone string) (*entryProcess, string) {
 	e := &entryProcess{caller: s.address(), peer: s.address(), admin: s.address()}
 	path := filepath.Join(s.dir, name+".yaml")
 	s.write(path, fmt.Sprintf(`instance: %s
@@ -195,13 +207,7 @@
   sessions: [{id: k1, secret: test-session-secret}]
 claim-partitions: 2
 `, name, zone, e.caller, e.peer, e.admin, s.log, s.directory, s.ratings))
-	e.process = s.start(name, "entry", "run", "-settings", path)
-	s.entries[name] = e
-	s.listing.Instances = append(s.listing.Instances, map[string]string{"id": name, "zone": zone, "peer": e.peer, "presence": "live"})
-	if err := s.put(s.directory, "/listing", s.listing); err != nil {
-		s.t.Fatal(err)
-	}
-	return e
+	return e, path
 }
 
 const ticketRecord = `{"nonce":"first","ticket":{"ticket":1,"author":"test",
