Blame a release only if more of its endpoints fail than may be sick at once

Cause: the last 2.5 s of one route decided, with 25 answers, 14 bad, from 7 of 59 endpoints, and 18 answers, 11 bad, from 9. So few answers count as having reached 20 and 16 endpoints, a third of which is enough blame, and they had met mostly sick ones, as many of the others had crashed.

Ruled out: endpoints that left the view and shrank the number (59 to 68 all the while).

Now bad answers must also come from more than a quarter of the endpoints that may bear them, 15 at most. Good releases can only be rolled back less often by this.

--- a/policy/rollout/canary.go
+++ b/policy/rollout/canary.go
@@ -96,8 +96,14 @@
 	// spreadShare is the share of the endpoints reached that must have given bad
 	// answers before a release is blamed: a few sick endpoints are no release.
 	spreadShare = 0.33
-	// leastSpread is how many endpoints that are at least, if there are so many.
-	leastSpread = 2
+	// sickPart is the part of a release's endpoints that may be sick at once: a fifth
+	// on the users' days, and some. Few answers may meet just those, as half of the
+	// others are down, so bad answers must come from more endpoints.
+	sickPart = 0.25
+	// leastSpread and enoughSpread bound how many endpoints that takes; by the latter,
+	// spreadShare tells a release from so many sick endpoints.
+	leastSpread  = 2
+	enoughSpread = 15
 )
 
 // Span is the evidence on one route over a part of an order's time.
@@ -118,7 +124,8 @@
 	// So many answers reach so many endpoints, if they fall at random.
 	n := float64(s.Reached)
 	reached := n * (1 - math.Pow(1-1/n, float64(s.To.Rated())))
-	return s.Bad >= leastSpread && float64(s.Bad) >= spreadShare*reached
+	least := min(max(leastSpread, 1+int(sickPart*n)), enoughSpread)
+	return s.Bad >= least && float64(s.Bad) >= spreadShare*reached
 }
 
 // VerdictEndpoints means that the new release does worse at a few endpoints only.
--- a/policy/rollout/canary_test.go
+++ b/policy/rollout/canary_test.go
@@ -85,6 +85,12 @@
 		{"half of 16 answers bad, 18 endpoints", 7, 18, 16, true},
 		{"a fifth of 60 endpoints sick, many answers", 12, 60, 240, false},
 		{"two sick endpoints of 18, few answers", 2, 18, 25, false},
+		// On a day with half of the endpoints down and a fifth of them sick, few answers
+		// met mostly sick ones, and a good release was rolled back.
+		{"few answers, most of them by sick endpoints of 59", 9, 59, 18, false},
+		{"a bad release with 59 endpoints", 15, 59, 45, true},
+		{"a bad release with 12 endpoints, few answers", 4, 12, 5, true},
+		{"a bad release with 400 endpoints", 20, 400, 60, true},
 		{"one endpoint of one", 1, 1, 5, true},
 		{"a bad release with four endpoints", 3, 4, 10, true},
 		{"one sick endpoint of four", 1, 4, 40, false},
