--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -722,20 +722,23 @@
 	})
 }
 
+// silences lists what decides whether the silence of an endpoint is waited out.
+var silences = []struct {
+	name string
+	// occupied is how many requests each other endpoint has.
+	occupied int
+	dead     bool
+	waits    bool
+}{
+	{"the others are full", 60, false, true},
+	{"the others are full, and the endpoint is gone", 60, true, false},
+	{"another has room", 0, false, false},
+}
+
 // Guards against a stream that is given up for its endpoint's silence, and then ends
 // in the middle because no other endpoint has room.
 func TestSilenceWithoutAnotherPlace(t *testing.T) {
-	rows := []struct {
-		name     string
-		occupied int
-		dead     bool
-		waits    bool
-	}{
-		{"the others are full", 60, false, true},
-		{"the others are full, and the endpoint is gone", 60, true, false},
-		{"another has room", 0, false, false},
-	}
-	for _, row := range rows {
+	for _, row := range silences {
 		t.Run(row.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench()
@@ -773,17 +776,7 @@
 // Guards against a plain request that may be repeated and leaves a slow endpoint for a
 // place that does not exist: it ended with 502.
 func TestPlainSilenceWithoutAnotherPlace(t *testing.T) {
-	rows := []struct {
-		name     string
-		occupied int
-		dead     bool
-		waits    bool
-	}{
-		{"the others are full", 60, false, true},
-		{"the others are full, and the endpoint is gone", 60, true, false},
-		{"another has room", 0, false, false},
-	}
-	for _, row := range rows {
+	for _, row := range silences {
 		t.Run(row.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench()
