Log why a begun stream is cut: probes, denials, verdicts on endpoints, zones left alone

The log could not tell the hypotheses on the incident apart: stream-cut did not say why, a probe left no line, no-endpoint had one reason for all endpoints. No change of logic; Alive returns why an endpoint is taken for dead.

--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -236,7 +236,9 @@
 	if z := e.zone(s.Endpoint.Zone); !was && why == KindNotSent {
 		z.misses++
 		if z.misses >= cutMisses {
-			z.until = now + min(longestCut, cutPause<<min(z.misses-cutMisses, 4))
+			pause := min(longestCut, cutPause<<min(z.misses-cutMisses, 4))
+			z.until = now + pause
+			e.logger.Info("zone-out", "zone", s.Endpoint.Zone, "misses", z.misses, "ms", int64(pause))
 		}
 	}
 	if !was {
@@ -430,9 +432,14 @@
 // hasSpare reports whether enough of the budget is left for a repeat that could
 // be done without.
 func (e *endpoints) hasSpare(service ticket.ServiceName) bool {
+	return e.budget(service) > sparePart
+}
+
+// budget returns the part of this instance's budget that is left.
+func (e *endpoints) budget(service ticket.ServiceName) float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.retries(service).Left(e.clock.Mono()) > sparePart
+	return e.retries(service).Left(e.clock.Mono())
 }
 
 // sparePart is the part of the budget kept for repeats after failures.
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -170,6 +171,9 @@
 		if t.deadline > 0 {
 			args = append(args, "left-ms", int64(max(0, t.deadline-t.clock.Mono())))
 		}
+		if t.denied != "" {
+			args = append(args, "denied", t.denied, "budget", math.Round(100*t.endpoints.budget(t.service.Name))/100)
+		}
 		t.logger.Warn("request", args...)
 		return
 	}
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -102,7 +102,12 @@
 				b.sent = append(b.sent, a)
 				return b.answer(len(b.sent), a)
 			},
-			Alive: func(_ context.Context, e *catalog.Endpoint) bool { return !b.dead[e.ID] },
+			Alive: func(_ context.Context, e *catalog.Endpoint) error {
+				if b.dead[e.ID] {
+					return fault.New("probe", KindNotSent, "scripted")
+				}
+				return nil
+			},
 		},
 	})
 	facts["configx"] = registry.Fact{Config: config("key")}
--- a/entry/forward/patience.go
+++ b/entry/forward/patience.go
@@ -39,7 +39,7 @@
 	}
 	heard, waits := now-t.endpoints.lastHeard(r.state), false
 	if now-since < limit || !t.elsewhere() {
-		waits = heard < patience || t.parts.Sender.Alive(ctx, r.endpoint)
+		waits = heard < patience || r.probe(ctx)
 	}
 	if !waits {
 		t.logger.Info("silence", "request", t.request.ID, "endpoint", r.endpoint.ID, "quiet-ms", int64(now-since),
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -145,8 +145,8 @@
 type Sender struct {
 	// Send returns once the answer's head is there, for a plain answer all of it.
 	Send func(ctx context.Context, a *Attempt) (*Answer, error)
-	// Alive reports whether the endpoint accepts channels.
-	Alive func(ctx context.Context, e *catalog.Endpoint) bool
+	// Alive returns nil if the endpoint accepts channels, or why it is taken not to.
+	Alive func(ctx context.Context, e *catalog.Endpoint) error
 }
 
 // Reply takes an answer to the caller.
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/placement"
@@ -58,3 +60,16 @@
 	}
 	r.end()
 }
+
+// probe asks whether the run's endpoint accepts channels.
+func (r *run) probe(ctx context.Context) bool {
+	t := r.task
+	began := t.clock.Mono()
+	err := t.parts.Sender.Alive(ctx, r.endpoint)
+	args := []any{"request", t.request.ID, "endpoint", r.endpoint.ID, "alive", err == nil, "ms", int64(t.clock.Mono() - began)}
+	if err != nil {
+		args = append(args, "error", err)
+	}
+	t.logger.Info("probe", args...)
+	return err == nil
+}
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -55,8 +55,22 @@
 	firstAt clock.Millis
 	// pause is the longest wait for an event after the first byte.
 	pause clock.Millis
+	// denied is why the last attempt may not be followed by another, or "".
+	denied Denial
 }
 
+// Denial says why a request may not run once more.
+type Denial string
+
+// Denials.
+const (
+	DenialTime     Denial = "time"
+	DenialSends    Denial = "sends"
+	DenialUnsent   Denial = "out-of-reach"
+	DenialAttempts Denial = "attempts"
+	DenialBudget   Denial = "budget"
+)
+
 const (
 	// extraSends is how many endpoints beyond the route's attempts may turn a
 	// request away without running it.
@@ -184,7 +198,8 @@
 func (t *task) unplaced(choice placement.Choice) Result {
 	late := choice.Reason == routing.Reason(ReasonLate)
 	t.logger.Info("no-endpoint", "request", t.request.ID, "reason", choice.Reason, "considered", choice.Considered,
-		"free", choice.Free, "slots", choice.Slots, "waiting", choice.Waiting, "runs", t.runs)
+		"verdicts", choice.Verdicts.String(), "free", choice.Free, "slots", choice.Slots, "waiting", choice.Waiting, "runs", t.runs,
+		"begun", t.begun, "release", t.release, "left-ms", int64(max(0, t.deadline-t.clock.Mono())))
 	switch {
 	case t.begun:
 		return t.cut()
@@ -309,7 +324,7 @@
 // not count for the attempts of a request.
 func (t *task) alive(ctx context.Context, r *run) bool {
 	e := r.endpoint
-	if t.parts.Sender.Alive(context.WithoutCancel(ctx), e) {
+	if r.probe(context.WithoutCancel(ctx)) {
 		return true
 	}
 	t.endpoints.lost(r.state, KindBroken)
@@ -325,13 +340,24 @@
 
 // another reports whether attempts, time and budget allow one more.
 func (t *task) another(end *attempt.End) bool {
-	if t.late() || t.sends >= t.route.Attempts+extraSends || t.unsent >= mostUnsent {
-		return false
-	}
-	if t.runs >= t.route.Attempts {
-		return false
+	t.denied = t.denial(end)
+	return t.denied == ""
+}
+
+func (t *task) denial(end *attempt.End) Denial {
+	switch {
+	case t.late():
+		return DenialTime
+	case t.sends >= t.route.Attempts+extraSends:
+		return DenialSends
+	case t.unsent >= mostUnsent:
+		return DenialUnsent
+	case t.runs >= t.route.Attempts:
+		return DenialAttempts
+	case end.Sent != attempt.SentNothing && !t.endpoints.hasRetry(t.service.Name):
+		return DenialBudget
 	}
-	return end.Sent == attempt.SentNothing || t.endpoints.hasRetry(t.service.Name)
+	return ""
 }
 
 // follow takes the step after an attempt; done is true at the request's end.
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -1,7 +1,11 @@
 package placement
 
 import (
+	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -56,6 +60,37 @@
 	Slots int
 	// Waiting is the number of requests that wait at accepted endpoints.
 	Waiting int
+	// Verdicts counts why endpoints were passed over, if no State was found.
+	Verdicts Verdicts
+}
+
+// Verdicts counts endpoints by why they cannot have a request.
+type Verdicts map[routing.Reason]int
+
+// ReasonNotAccepted means that the query does not accept the endpoint, for its
+// release, its leaving or its zone.
+const ReasonNotAccepted routing.Reason = "not-accepted"
+
+// String lists the counts by name.
+func (v Verdicts) String() string {
+	var list []string
+	for _, reason := range slices.Sorted(maps.Keys(v)) {
+		list = append(list, fmt.Sprintf("%s:%d", reason, v[reason]))
+	}
+	return strings.Join(list, " ")
+}
+
+// verdicts counts why each endpoint cannot have the request.
+func (q *Query) verdicts(states []*State) Verdicts {
+	counts := Verdicts{}
+	for _, s := range states {
+		if !q.Accept(s.Endpoint) {
+			counts[ReasonNotAccepted]++
+			continue
+		}
+		counts[q.verdict(s)]++
+	}
+	return counts
 }
 
 const (
@@ -130,9 +165,11 @@
 	if packed != nil {
 		best.State, best.Reason = packed, ReasonPacked
 	}
-	if best.State != nil {
-		best.Endpoint = best.State.Endpoint
+	if best.State == nil {
+		best.Verdicts = q.verdicts(states)
+		return best
 	}
+	best.Endpoint = best.State.Endpoint
 	return best
 }
 
