--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -37,7 +37,9 @@
 	answer func(n int, a *Attempt) (*Answer, error)
 	sent   []*Attempt
 	dead   map[routing.EndpointID]bool
-	facts  map[string]registry.Fact
+	// refusing holds endpoints that live and accept no channel.
+	refusing map[routing.EndpointID]bool
+	facts    map[string]registry.Fact
 }
 
 const (
@@ -77,7 +79,7 @@
 
 // newMember returns a bench whose relay reaches the others of the network.
 func newMember(name string, n network) *bench {
-	b := &bench{dead: map[routing.EndpointID]bool{}}
+	b := &bench{dead: map[routing.EndpointID]bool{}, refusing: map[routing.EndpointID]bool{}}
 	c := clock.New()
 	b.registry = registry.New(c, hclog.NewNullLogger())
 	facts := map[string]registry.Fact{}
@@ -103,8 +105,11 @@
 				return b.answer(len(b.sent), a)
 			},
 			Alive: func(_ context.Context, e *catalog.Endpoint) error {
-				if b.dead[e.ID] {
+				switch {
+				case b.dead[e.ID]:
 					return fault.New("probe", KindNotSent, "scripted")
+				case b.refusing[e.ID]:
+					return fault.New("probe", KindRefused, "scripted")
 				}
 				return nil
 			},
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -71,6 +71,9 @@
 const (
 	// KindNotSent means that the endpoint cannot have seen the request.
 	KindNotSent Kind = "not-sent"
+	// KindRefused is KindNotSent of an endpoint whose machine answers: it accepts no
+	// channel, and may still finish what it runs.
+	KindRefused Kind = "refused"
 	// KindBroken means that the channel ended or carried no proper answer.
 	KindBroken Kind = "broken"
 	// KindOverrun means that a stream held more than was asked for: what came of
