Do not take an endpoint that refuses channels for dead, nor its zone for cut off

Cause: the old release's endpoints accept no channel from some 0.4 s after the roll-out is completed, finish what they run, and stay registered for up to a beat and a read. A stream that rests 450 ms is probed; the refused channel counted as death, so the run was dropped, all others of its release refused, too, and the stream was cut. Past 1.6 s it was dropped without a probe, as stale entries said that others have room.

Now a refused channel is a kind of its own. The machine answers, so the run lives as long as its own channel does: a process that ends has its channels closed by its machine. A living endpoint is left only for one that accepts a channel. Refusals no longer count as misses of a zone: three took out its new endpoints and plain services with it for 1 to 4 s.

A refused channel used to be not-sent, which TestRefusalsDoNotCutAZone shows to cut a zone.

--- a/entry/forward/begun_test.go
+++ b/entry/forward/begun_test.go
@@ -7,7 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/placement"
 	"foxtailbridge/policy/routing"
 )
 
@@ -227,3 +229,33 @@
 		}
 	})
 }
+
+// Guards against a zone that is left alone, its new endpoints and plain ones with it, as
+// endpoints there that leave refuse channels.
+func TestRefusalsDoNotCutAZone(t *testing.T) {
+	rows := []struct {
+		why Kind
+		cut bool
+	}{
+		{KindRefused, false},
+		{KindNotSent, true},
+	}
+	for _, row := range rows {
+		t.Run(string(row.why), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				b.endpoints.peek(b.registry.View(), &catalog.Service{Name: "engines"}, &placement.Query{Accept: func(*catalog.Endpoint) bool { return true }})
+				for _, s := range b.endpoints.pools["engines"].states[:cutMisses] {
+					b.endpoints.lost(s, row.why)
+				}
+				q := &placement.Query{Zone: "b"}
+				b.endpoints.mu.Lock()
+				defer b.endpoints.mu.Unlock()
+				b.endpoints.prepare(b.registry.View(), &catalog.Service{Name: "engines"}, q)
+				if cut := q.CutOff("a"); cut != row.cut {
+					t.Errorf("zone cut off: %v, want %v", cut, row.cut)
+				}
+			})
+		})
+	}
+}
--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -233,7 +233,11 @@
 	now := e.clock.Mono()
 	was := s.Down(now)
 	s.Fail(now)
-	if z := e.zone(s.Endpoint.Zone); !was && why == KindNotSent {
+	z := e.zone(s.Endpoint.Zone)
+	if why == KindRefused {
+		*z = reach{} // The machine answered, so there is a way to its zone.
+	}
+	if !was && why == KindNotSent {
 		z.misses++
 		if z.misses >= cutMisses {
 			pause := min(longestCut, cutPause<<min(z.misses-cutMisses, 4))
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -208,6 +208,13 @@
 			}
 			return whole(200), nil
 		}, 200, 2, false},
+		{"may run once and found no channel: another endpoint", "/once/x", func(n int, _ *Attempt) (*Answer, error) {
+			if n == 1 {
+				return nil, failure(KindRefused)
+			}
+			return whole(200), nil
+		}, 200, 2, false},
+		{"no endpoint accepts a channel: a true refusal", "/once/x", func(int, *Attempt) (*Answer, error) { return nil, failure(KindRefused) }, 503, 4, true},
 		{"turned away everywhere: a true refusal", "/once/x", func(int, *Attempt) (*Answer, error) { return turnedAway(), nil }, 503, 3, true},
 		{"may repeat and breaks: repeated", "/safe/x", func(n int, _ *Attempt) (*Answer, error) {
 			if n == 1 {
--- a/entry/forward/patience.go
+++ b/entry/forward/patience.go
@@ -38,8 +38,10 @@
 		since, patience, limit = r.eventAt, t.gap(), clock.Millis(pauseGaps*float64(t.route.GapGoal))
 	}
 	heard, waits := now-t.endpoints.lastHeard(r.state), false
-	if now-since < limit || !t.elsewhere() {
-		waits = heard < patience || r.probe(ctx)
+	if now-since < limit || !t.elsewhere(ctx) {
+		// An endpoint that leaves refuses channels and finishes what it runs; had it
+		// ended, its machine would have closed this one, too.
+		waits = heard < patience || t.probe(ctx, r.endpoint) != KindNotSent
 	}
 	if !waits {
 		t.logger.Info("silence", "request", t.request.ID, "endpoint", r.endpoint.ID, "quiet-ms", int64(now-since),
@@ -48,10 +50,19 @@
 	return waits
 }
 
-// elsewhere reports whether another endpoint has room for the request now.
-func (t *task) elsewhere() bool {
+// elsewhere reports whether another endpoint has room for the request now, and accepts
+// it: the entry of one that leaves may say otherwise for a while.
+func (t *task) elsewhere(ctx context.Context) bool {
 	q, next := t.query()
-	return t.endpoints.peek(next.view, t.service, q).State != nil
+	choice := t.endpoints.peek(next.view, t.service, q)
+	if choice.State == nil {
+		return false
+	}
+	why := t.probe(ctx, choice.Endpoint)
+	if why != "" && ctx.Err() == nil {
+		t.endpoints.lost(choice.State, why)
+	}
+	return why == ""
 }
 
 const (
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -5,6 +5,7 @@
 
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/fault"
 	"foxtailbridge/policy/placement"
 )
 
@@ -61,15 +62,16 @@
 	r.end()
 }
 
-// probe asks whether the run's endpoint accepts channels.
-func (r *run) probe(ctx context.Context) bool {
-	t := r.task
+// probe asks whether an endpoint accepts channels; it returns "" or why it does not.
+func (t *task) probe(ctx context.Context, e *catalog.Endpoint) Kind {
 	began := t.clock.Mono()
-	err := t.parts.Sender.Alive(ctx, r.endpoint)
-	args := []any{"request", t.request.ID, "endpoint", r.endpoint.ID, "alive", err == nil, "ms", int64(t.clock.Mono() - began)}
-	if err != nil {
-		args = append(args, "error", err)
+	err := t.parts.Sender.Alive(ctx, e)
+	args := []any{"request", t.request.ID, "endpoint", e.ID, "alive", err == nil, "ms", int64(t.clock.Mono() - began)}
+	if err == nil {
+		t.logger.Info("probe", args...)
+		return ""
 	}
-	t.logger.Info("probe", args...)
-	return err == nil
+	kind := fault.KindOf[Kind](err)
+	t.logger.Info("probe", append(args, "kind", kind, "error", err)...)
+	return kind
 }
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -260,7 +260,7 @@
 		answer.Close()
 		r.end()
 		if answer.Moved {
-			t.endpoints.lost(s, KindNotSent)
+			t.endpoints.lost(s, KindRefused)
 		}
 	case answer.Status >= http.StatusBadRequest, t.begun && answer.Next == nil: // A stream does not go on as a plain answer.
 		end.Result = attempt.ResultFailed
@@ -286,7 +286,7 @@
 	t.logger.Info("attempt-broken", "request", t.request.ID, "endpoint", r.endpoint.ID, "kind", kind,
 		"ms", int64(t.clock.Mono()-r.sentAt), "error", err)
 	switch kind {
-	case KindNotSent:
+	case KindNotSent, KindRefused:
 		t.sends--
 		t.unsent++
 		end.Sent = attempt.SentNothing
@@ -324,7 +324,7 @@
 // not count for the attempts of a request.
 func (t *task) alive(ctx context.Context, r *run) bool {
 	e := r.endpoint
-	if r.probe(context.WithoutCancel(ctx)) {
+	if t.probe(context.WithoutCancel(ctx), e) == "" {
 		return true
 	}
 	t.endpoints.lost(r.state, KindBroken)
