Let a stream that has begun wait for a place instead of cutting it

Callers saw streams cut with seconds of their time left whenever no endpoint of their release had room, budget or a channel at the moment at which a run broke.

Cause: a begun stream was bound to its release and got one look at the fleet; turned away five times or out of reach twelve times, it was cut as well, and an endpoint that had refused it once was never asked again.

It is cut at once only if its attempts are used up or an order has ended its release and none of its endpoints is left. An endpoint is not left for its silence without budget.

TestStreamOfAnEndedReleaseIsCut holds the limit.

--- a/entry/forward/begun_test.go
+++ b/entry/forward/begun_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/placement"
@@ -259,3 +260,51 @@
 		})
 	}
 }
+
+// Guards against a caller that is kept waiting for endpoints that never come back: those
+// of a release that a roll-out has replaced.
+func TestStreamOfAnEndedReleaseIsCut(t *testing.T) {
+	rows := []struct {
+		outcome registry.Outcome
+		within  clock.Millis
+		cut     bool
+	}{
+		{registry.OutcomeCompleted, clock.Second, true},
+		{registry.OutcomeRunning, 4 * clock.Second, false},
+	}
+	for _, row := range rows {
+		t.Run(string(row.outcome), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				order := b.order(5, 40*clock.Second)
+				b.facts["statusx"] = registry.Fact{Status: &registry.Status{Service: "engines", Target: order.Target, Order: 5, Outcome: row.outcome}}
+				b.facts["backx"] = registry.Fact{Endpoint: &catalog.Endpoint{ID: "back", Born: 2, Service: "engines", Zone: "a", Release: "v1", Slots: 6}}
+				time.Sleep(time.Second)
+				b.answer = func(n int, a *Attempt) (*Answer, error) {
+					if n > 1 {
+						return stream(90, io.EOF, "2"), nil
+					}
+					answer := breaking("1", func() error {
+						b.dead[a.Endpoint.ID] = true
+						b.registry.Merge(registry.Batch{Feed: registry.FeedOutcomes, Records: []registry.Record{{Key: "status", Value: []byte("x")}}, Head: 1})
+						var gone []registry.Record
+						for i := range 4 {
+							gone = append(gone, registry.Record{Key: fmt.Sprint("engines", i), Gone: true, Offset: registry.Offset(9 + i)})
+						}
+						b.registry.Merge(registry.Batch{Feed: registry.FeedEndpoints, Records: gone, From: 9, Head: 13})
+						time.AfterFunc(2*time.Second, func() {
+							b.registry.Merge(registry.Batch{Feed: registry.FeedEndpoints, Records: []registry.Record{{Key: "back", Value: []byte("x"), Offset: 13}}, From: 13, Head: 14})
+						})
+						return failure(KindBroken)
+					})
+					return answer, nil
+				}
+				began := b.clock.Mono()
+				c := b.serve(t.Context(), "/note/x", nil)
+				if span := b.clock.Mono() - began; c.Cut != row.cut || span > row.within {
+					t.Errorf("events %q, %+v, after %d ms", c.events, c.Result, span)
+				}
+			})
+		})
+	}
+}
--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -37,7 +37,7 @@
 	}
 	r.close()
 	if ctx.Err() != nil || errors.Is(err, errCaller) {
-		return Result{Reason: ReasonGone, Own: true, Cut: t.begun}, true
+		return t.gone(), true
 	}
 	resumable := t.route.Resumable && fault.KindOf[Kind](err) != KindOverrun
 	end := attempt.End{Sent: attempt.SentSome, Repeatable: t.repeatable(), Resumable: resumable, Begun: t.begun, RanBefore: true}
--- a/entry/forward/patience.go
+++ b/entry/forward/patience.go
@@ -29,7 +29,7 @@
 func (r *run) waits(ctx context.Context) bool {
 	t := r.task
 	end := attempt.End{Sent: attempt.SentSome}
-	if !t.repeatable() || !t.another(&end) {
+	if !t.repeatable() || !t.another(&end) || !t.endpoints.hasRetry(t.service.Name) {
 		return true
 	}
 	now := t.clock.Mono()
--- a/entry/forward/releases.go
+++ b/entry/forward/releases.go
@@ -161,6 +161,21 @@
 	return func(e *catalog.Endpoint) bool { return e.Release != target && sound(e) }
 }
 
+// ended reports whether an order that is over has taken the release away.
+func (r *releases) ended(view *registry.State, service ticket.ServiceName, release catalog.Release) bool {
+	p := r.orderOf(view, service)
+	if p == nil {
+		return false
+	}
+	switch p.outcome {
+	case registry.OutcomeCompleted:
+		return release != p.order.Target
+	case registry.OutcomeRolledBack:
+		return release == p.order.Target
+	}
+	return false
+}
+
 // pick returns the arm for a request and a filter for its endpoints.
 func (r *releases) pick(view *registry.State, service ticket.ServiceName, session string) (Arm, func(*catalog.Endpoint) bool, *progress) {
 	p := r.orderOf(view, service)
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -57,6 +57,10 @@
 	pause clock.Millis
 	// denied is why the last attempt may not be followed by another, or "".
 	denied Denial
+	// owes is true if the next attempt has to be taken from the budget first.
+	owes bool
+	// rest is how long a begun stream last waited for a place.
+	rest clock.Millis
 }
 
 // Denial says why a request may not run once more.
@@ -106,9 +110,9 @@
 	}
 	t.endpoints.note(t.service.Name, t.route.Name, t.size())
 	for {
-		choice := t.find()
+		choice := t.place(ctx)
 		if choice.State == nil {
-			return t.unplaced(choice)
+			return t.unplaced(ctx, choice)
 		}
 		end, answer := t.attempt(ctx, choice)
 		if result, done := t.follow(ctx, end, answer); done {
@@ -195,7 +199,10 @@
 }
 
 // unplaced ends a request for which there is no endpoint.
-func (t *task) unplaced(choice placement.Choice) Result {
+func (t *task) unplaced(ctx context.Context, choice placement.Choice) Result {
+	if ctx.Err() != nil {
+		return t.gone()
+	}
 	late := choice.Reason == routing.Reason(ReasonLate)
 	t.logger.Info("no-endpoint", "request", t.request.ID, "reason", choice.Reason, "considered", choice.Considered,
 		"verdicts", choice.Verdicts.String(), "free", choice.Free, "slots", choice.Slots, "waiting", choice.Waiting, "runs", t.runs,
@@ -270,6 +277,7 @@
 		r.end()
 	default:
 		t.count()
+		t.rest = 0
 		end.Result = attempt.ResultAnswered
 		r.first()
 		if t.unsure(answer) {
@@ -348,12 +356,14 @@
 	switch {
 	case t.late():
 		return DenialTime
+	case t.runs >= t.route.Attempts:
+		return DenialAttempts
+	case t.begun:
+		return "" // What else may stand in its way passes; see place.
 	case t.sends >= t.route.Attempts+extraSends:
 		return DenialSends
 	case t.unsent >= mostUnsent:
 		return DenialUnsent
-	case t.runs >= t.route.Attempts:
-		return DenialAttempts
 	case end.Sent != attempt.SentNothing && !t.endpoints.hasRetry(t.service.Name):
 		return DenialBudget
 	}
@@ -364,7 +374,7 @@
 func (t *task) follow(ctx context.Context, end attempt.End, r *run) (Result, bool) {
 	if ctx.Err() != nil {
 		r.close()
-		return Result{Reason: ReasonGone, Own: true, Cut: t.begun}, true
+		return t.gone(), true
 	}
 	step := attempt.Next(end)
 	switch step {
@@ -382,9 +392,7 @@
 		t.endpoints.takeRetry(t.service.Name)
 		return Result{}, false
 	case attempt.StepRepeat, attempt.StepResume:
-		if end.Sent != attempt.SentNothing {
-			t.endpoints.takeRetry(t.service.Name)
-		}
+		t.owes = end.Sent != attempt.SentNothing
 		t.parts.Scope.Counter(string(step)).Inc(1)
 		t.logger.Info(string(step), "request", t.request.ID, "endpoint", r.endpoint.ID, "result", end.Result, "sent", end.Sent,
 			"after", t.after, "runs", t.runs)
@@ -400,6 +408,11 @@
 	return own(http.StatusBadGateway, ReasonUnknown, 0), true
 }
 
+// gone ends a request whose caller has left.
+func (t *task) gone() Result {
+	return Result{Reason: ReasonGone, Own: true, Cut: t.begun}
+}
+
 // cut ends a begun answer that cannot go on.
 func (t *task) cut() Result {
 	if t.late() {
