Keep a begun stream's attempts for endpoints that die

Callers saw streams cut with 8 to 16 s left after half of the engines went dark: runs=3 sends=3 in each, the three being an escalation, a silence and a break.

Cause: a run given up for silence counted for the route's attempts even if a probe had found its endpoint dead, while a broken one was taken back; and a living endpoint that rested too long could be left with the last attempt but one.

Now a run at an endpoint found dead does not count, and the endpoint is left alone as one that cannot be reached; a begun stream leaves a living endpoint only if an attempt is left beyond the next.

--- a/entry/forward/patience.go
+++ b/entry/forward/patience.go
@@ -38,18 +38,25 @@
 		since, patience, limit = r.eventAt, t.gap(), clock.Millis(pauseGaps*float64(t.route.GapGoal))
 	}
 	heard, waits := now-t.endpoints.lastHeard(r.state), false
-	if now-since < limit || !t.elsewhere(ctx) {
+	if now-since < limit || !t.spare() || !t.elsewhere(ctx) {
 		// An endpoint that leaves refuses channels and finishes what it runs; had it
 		// ended, its machine would have closed this one, too.
-		waits = heard < patience || t.probe(ctx, r.endpoint) != KindNotSent
+		r.dead = heard >= patience && t.probe(ctx, r.endpoint) == KindNotSent
+		waits = !r.dead
 	}
 	if !waits {
 		t.logger.Info("silence", "request", t.request.ID, "endpoint", r.endpoint.ID, "quiet-ms", int64(now-since),
-			"limit-ms", int64(limit), "heard-ms", int64(heard), "patience-ms", int64(patience), "begun", t.begun)
+			"limit-ms", int64(limit), "heard-ms", int64(heard), "patience-ms", int64(patience), "begun", t.begun, "dead", r.dead)
 	}
 	return waits
 }
 
+// spare reports whether the request may leave an endpoint that lives. A begun stream
+// keeps its last attempt for one that dies.
+func (t *task) spare() bool {
+	return !t.begun || t.runs+1 < t.route.Attempts
+}
+
 // elsewhere reports whether another endpoint has room for the request now, and accepts
 // it: the entry of one that leaves may say otherwise for a while.
 func (t *task) elsewhere(ctx context.Context) bool {
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -28,6 +28,8 @@
 	compared bool
 	// patience is the wait for the answer's head.
 	patience clock.Millis
+	// dead is true if the endpoint was found dead in a silence.
+	dead bool
 	// eventAt is when the last event came, or 0.
 	eventAt clock.Millis
 }
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -303,9 +303,12 @@
 	case KindSilent:
 		t.count()
 		end.Result = attempt.ResultSilent
-		if t.endpoints.lastHeard(r.state) < r.sentAt {
+		if r.dead || t.endpoints.lastHeard(r.state) < r.sentAt {
 			t.endpoints.lost(r.state, kind)
 		}
+		if r.dead {
+			t.runs-- // It does not count for the attempts; see alive.
+		}
 		r.rate(true)
 	case KindCanceled:
 		t.count()
