Drop an unsure answer only for a place that is taken

Cause: an answer whose confidence is too low was closed after a look that found room for a larger model, and the place was searched for afterwards.

Now the place is taken first, and without one the answer at hand is delivered.

--- a/entry/forward/escalate.go
+++ b/entry/forward/escalate.go
@@ -39,6 +39,28 @@
 	return doubt.Escalate()
 }
 
+// escalate drops an unsure answer for a larger model's, once an endpoint is sure to have
+// room for that; it reports whether one has.
+func (t *task) escalate(r *run) bool {
+	model, tried, aim := t.model, t.tried, t.aim
+	t.model, t.tried = t.route.Ladder[len(t.route.Ladder)-1], nil
+	choice := t.find()
+	if choice.State == nil {
+		t.logger.Info("escalate-not", "request", t.request.ID, "model", t.model, "reason", choice.Reason, "verdicts", choice.Verdicts.String())
+		t.model, t.tried, t.aim = model, tried, aim
+		return false
+	}
+	t.next = &choice
+	next := t.aim
+	t.aim = aim // The run counts for the aim by which it was sent.
+	r.rate(false)
+	r.close()
+	t.aim = next
+	t.logger.Info("escalate", "request", t.request.ID, "endpoint", r.endpoint.ID, "model", model, "confidence", r.answer.Confidence)
+	t.endpoints.takeRetry(t.service.Name)
+	return true
+}
+
 // relativeRead is how long reading this prompt takes against the route's mean.
 func (t *task) relativeRead() float64 {
 	mean := t.endpoints.meanSize(t.route.Name)
--- a/entry/forward/place.go
+++ b/entry/forward/place.go
@@ -24,6 +24,11 @@
 // and endpoints fill, leave and come back within that time. Those of a release that an
 // order has ended do not.
 func (t *task) place(ctx context.Context) placement.Choice {
+	if t.next != nil {
+		choice := *t.next
+		t.next = nil
+		return choice
+	}
 	for waited := clock.Millis(0); ; waited += t.rest {
 		choice := placement.Choice{Reason: reasonBudget}
 		if !t.owes || t.endpoints.takeRetry(t.service.Name) || !t.begun {
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -59,6 +59,8 @@
 	denied Denial
 	// owes is true if the next attempt has to be taken from the budget first.
 	owes bool
+	// next is the place found before the last attempt was given up, or nil.
+	next *placement.Choice
 	// rest is how long a begun stream last waited for a place.
 	rest clock.Millis
 }
@@ -387,12 +389,9 @@
 		answer := r.answer
 		return Result{Status: answer.Status, Header: answer.Header, Body: answer.Body, Reason: ReasonFailed}, true
 	case attempt.StepEscalate:
-		r.rate(false)
-		r.close()
-		t.logger.Info("escalate", "request", t.request.ID, "endpoint", r.endpoint.ID, "model", t.model, "confidence", r.answer.Confidence)
-		t.model = t.route.Ladder[len(t.route.Ladder)-1]
-		t.tried = nil
-		t.endpoints.takeRetry(t.service.Name)
+		if !t.escalate(r) {
+			return t.deliver(ctx, r)
+		}
 		return Result{}, false
 	case attempt.StepRepeat, attempt.StepResume:
 		t.owes = end.Sent != attempt.SentNothing
