Complete a roll-out once the old release's requests have ended, if time allows

Streams that break then have nowhere to go on.

Now the instance on duty waits for them up to 0.90 of the time; the rest is left to write the outcome. release-good says how many were left (old-left).

TestCompletionWaitsForTheOldRelease failed before in two rows of three (completed after 17.05 s and 17 s of 20, want 17.5 s or later).

--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -187,8 +187,12 @@
 	}
 	elapsed := now - order.Seen
 	if rollout.PhaseAt(elapsed, order.Span) == rollout.PhaseDone && answers >= leastAnswers {
+		left := d.left(view, order)
+		if left > 0 && rollout.MayWait(elapsed, order.Span) {
+			return // To complete it would end the endpoints that still answer.
+		}
 		all, pace, moved, load := s.routes[allRoutes], s.routes[forward.PaceRoute], s.routes[forward.MovedRoute], s.routes[forward.LoadRoute]
-		d.logger.Info("release-good", "service", order.Service, "target", order.Target, "order", order.Number, "answers", answers, "elapsed-ms", int64(elapsed),
+		d.logger.Info("release-good", "service", order.Service, "target", order.Target, "order", order.Number, "answers", answers, "elapsed-ms", int64(elapsed), "old-left", left,
 			"good", all.to.Good, "bad", all.to.Bad, "old-good", all.from.Good, "old-bad", all.from.Bad,
 			"paced", pace.to.Rated(), "slower", pace.to.Bad, "old-paced", pace.from.Rated(), "old-slower", pace.from.Bad,
 			"moved", moved.to.Rated(), "moved-slow", moved.to.Bad,
@@ -212,6 +216,23 @@
 	return count
 }
 
+// left returns the requests of all instances that are still at endpoints of other
+// releases than the order's.
+func (d *Duty) left(view *registry.State, order *catalog.Order) int {
+	sum := 0
+	seen := map[catalog.Release]bool{order.Target: true}
+	for _, e := range view.Endpoints[order.Service] {
+		if seen[e.Release] {
+			continue
+		}
+		seen[e.Release] = true
+		for _, n := range d.Occupied(order.Service, e.Release) {
+			sum += n
+		}
+	}
+	return sum
+}
+
 func (d *Duty) sample(view *registry.State, order *catalog.Order, now clock.Millis) sample {
 	s := sample{
 		at: now, routes: map[catalog.RouteName]tallies{},
--- a/entry/duty/duty_test.go
+++ b/entry/duty/duty_test.go
@@ -37,6 +37,8 @@
 	writes   int
 	// occupied counts the requests at the new release's endpoints; a map in it is not changed.
 	occupied map[routing.EndpointID]int
+	// old is the number of requests at the old release's.
+	old int
 }
 
 type wire struct {
@@ -81,7 +83,11 @@
 		case "status":
 			return registry.Fact{Status: &registry.Status{Service: "s", Target: "v2", Order: 3, Outcome: registry.Outcome(record.Value)}}, nil
 		}
-		return registry.Fact{Endpoint: &catalog.Endpoint{ID: routing.EndpointID(record.Key), Service: "s", Release: "v2", Slots: 1}}, nil
+		release := catalog.Release("v2")
+		if record.Key == "old" {
+			release = "v1"
+		}
+		return registry.Fact{Endpoint: &catalog.Endpoint{ID: routing.EndpointID(record.Key), Service: "s", Release: release, Slots: 1}}, nil
 	}
 	zone := ticket.ZoneName("z" + name) // One instance a zone: each is its zone's reader.
 	rel := relay.New(relay.Member{Name: name, Zone: zone, Address: name, Run: "1"}, []string{"a"}, relay.Parts{
@@ -99,7 +105,8 @@
 	for i := range 6 {
 		endpoints = append(endpoints, registry.Record{Key: string(rune('0' + i)), Offset: registry.Offset(i), Value: []byte("x")})
 	}
-	r.Merge(registry.Batch{Feed: registry.FeedEndpoints, Head: 6, Records: endpoints})
+	endpoints = append(endpoints, registry.Record{Key: "old", Offset: 6, Value: []byte("x")})
+	r.Merge(registry.Batch{Feed: registry.FeedEndpoints, Head: 7, Records: endpoints})
 	r.Merge(registry.Batch{Feed: registry.FeedOutcomes})
 	d := New(r, rel, c, hclog.NewNullLogger())
 	d.Commit = func(_ context.Context, s registry.Status) (registry.Status, error) {
@@ -117,9 +124,12 @@
 		return f.stands, nil
 	}
 	d.Stood = func(registry.Status) { rel.Urge() }
-	d.Occupied = func(ticket.ServiceName, catalog.Release) map[routing.EndpointID]int {
+	d.Occupied = func(_ ticket.ServiceName, release catalog.Release) map[routing.EndpointID]int {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		if release != f.order.Target {
+			return map[routing.EndpointID]int{"old": f.old}
+		}
 		return f.occupied
 	}
 	go rel.Run(ctx)
@@ -251,3 +261,49 @@
 		}
 	})
 }
+
+// Guards against a roll-out that is completed, which ends the old release's endpoints,
+// while answers still come from them.
+func TestCompletionWaitsForTheOldRelease(t *testing.T) {
+	rows := []struct {
+		name string
+		// ends is when the old release's last request ends.
+		ends          time.Duration
+		after, within time.Duration
+	}{
+		{"nothing runs there", 0, 16 * time.Second, 18 * time.Second},
+		{"an answer ends a moment later", 17500 * time.Millisecond, 17500 * time.Millisecond, 18500 * time.Millisecond},
+		{"one that does not end leaves time to write the outcome", time.Hour, 17500 * time.Millisecond, 18500 * time.Millisecond},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			inBubble(t, func(ctx context.Context) {
+				f := newFleet(ctx)
+				began := time.Now()
+				set := func(n int) {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					f.old = n
+				}
+				if row.ends > 0 {
+					set(3)
+				}
+				time.Sleep(2 * time.Second)
+				f.answer(40, true)
+				completed := time.Duration(0)
+				for completed == 0 && time.Since(began) < 20*time.Second {
+					time.Sleep(50 * time.Millisecond)
+					if time.Since(began) >= row.ends {
+						set(0)
+					}
+					if got, _ := f.outcome(); got == registry.OutcomeCompleted {
+						completed = time.Since(began)
+					}
+				}
+				if completed < row.after || completed > row.within {
+					t.Errorf("completed after %v, want %v to %v", completed, row.after, row.within)
+				}
+			})
+		})
+	}
+}
--- a/policy/rollout/canary.go
+++ b/policy/rollout/canary.go
@@ -43,6 +43,9 @@
 	fullFrom = 0.75
 	// doneFrom is the part after which the order is completed.
 	doneFrom = 0.85
+	// waitUntil is the part until which that waits for the requests that the old
+	// release still runs; the rest is left to write the outcome to a store that is slow.
+	waitUntil = 0.90
 	// minBad is how many bad answers it takes to stop a release.
 	minBad = 4
 )
@@ -63,6 +66,11 @@
 	return PhaseCanary
 }
 
+// MayWait reports whether an order that is done may wait for the old release's requests.
+func MayWait(elapsed, span clock.Millis) bool {
+	return float64(elapsed) < waitUntil*float64(span)
+}
+
 // Fills reports whether requests go to as few endpoints as can bear them.
 func (p Phase) Fills() bool {
 	return p == PhaseLoad || p == PhaseFull
