Merge the begin of an order as the earliest that any instance knows

Cause: an instance that starts and reads the order from the store takes it for new. The same record from a peer, with its age, was ignored since its offset was known, and peers did not even send it; whoever started later and learned from that instance took its age.

Now the begin of an order is the earliest that any instance knows, for a known offset too, and instances tell each other the begins that the receiver may not know: once for each peer and order, again after a lost message or if an earlier one is learned, so the exchanges stay as small as they were.

Ruled out: to have a starting instance wait for a peer before it reads the store (a seed that starts alone must read it), and the time of day in the order (the clocks of machines jump). What stays: an instance serves by its own reading of the store for the few ms until the first peer answers, and the age is lost if all instances stop at once.

--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -205,7 +205,10 @@
 func (r *Registry) put(record *Record, b *Batch, now clock.Millis) bool {
 	key := id{b.Feed, record.Key}
 	old := r.entries[key]
-	if old != nil && record.Offset <= old.record.Offset {
+	if old != nil && record.Offset == old.record.Offset {
+		return r.advance(old, now-record.Age, b.Source)
+	}
+	if old != nil && record.Offset < old.record.Offset {
 		return false
 	}
 	if old == nil && !b.Whole && record.Offset < r.listed[b.Feed] {
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -16,7 +16,7 @@
 	"foxtailbridge/policy/ticket"
 )
 
-// decode reads test records: "config N", "out", "ID born sequence state", "torn".
+// decode reads test records: "config N", "order", "out", "ID born sequence state", "torn".
 func decode(r *Record) (Fact, error) {
 	f := strings.Fields(string(r.Value))
 	switch {
@@ -25,6 +25,8 @@
 	case f[0] == "config":
 		n, _ := strconv.Atoi(f[1])
 		return Fact{Config: catalog.NewConfig(catalog.Revision(n), nil, nil, nil, false, catalog.Limits{})}, nil
+	case f[0] == "order":
+		return Fact{Order: &catalog.Order{Number: catalog.OrderNumber(r.Offset), Service: "s"}}, nil
 	case f[0] == "out":
 		return Fact{ZoneOut: ticket.ZoneName(r.Key)}, nil
 	}
@@ -198,3 +200,67 @@
 		So(f.View().Config.Revision, ShouldEqual, 7)
 	})
 }
+
+// TestBeginsInAnyOrder is the same property for the times since orders: what is known last
+// is the newest order with the largest of the ages told of it, whatever came twice.
+func TestBeginsInAnyOrder(t *testing.T) {
+	t.Run("any order, any repeats", rapid.MakeCheck(func(t *rapid.T) {
+		newest, oldest := Offset(-1), clock.Millis(0)
+		var news []Begin
+		for range rapid.IntRange(1, 10).Draw(t, "count") {
+			b := Begin{
+				Key: "s", Offset: Offset(rapid.IntRange(0, 2).Draw(t, "offset")),
+				Age: 4 * BeginSlack * clock.Millis(rapid.IntRange(0, 9).Draw(t, "age")),
+			}
+			news = append(news, b)
+			if b.Offset > newest {
+				newest, oldest = b.Offset, 0
+			}
+			if b.Offset == newest {
+				oldest = max(oldest, b.Age)
+			}
+		}
+		f := newFixture()
+		take := func(b Begin) {
+			if rapid.Bool().Draw(t, "record") {
+				f.Merge(Batch{Feed: FeedOrders, From: b.Offset, Head: b.Offset + 1, Records: []Record{{Key: b.Key, Offset: b.Offset, Value: []byte("order"), Age: b.Age}}})
+				return
+			}
+			// The store tells no age.
+			f.Merge(Batch{Feed: FeedOrders, From: b.Offset, Head: b.Offset + 1, Records: []Record{{Key: b.Key, Offset: b.Offset, Value: []byte("order")}}})
+			f.Learn([]Begin{b}, "peer")
+		}
+		for _, b := range append(rapid.Permutation(news).Draw(t, "order"), news[0]) {
+			take(b)
+		}
+		order := f.View().Orders["s"]
+		if order.Number != catalog.OrderNumber(newest) || f.now-order.Seen != oldest {
+			t.Fatalf("order %d of %d ms ago, want %d of %d ms", order.Number, f.now-order.Seen, newest, oldest)
+		}
+	}))
+}
+
+func TestBeginsAtRest(t *testing.T) {
+	f := newFixture()
+	f.Merge(Batch{Feed: FeedOrders, Head: 1, Records: []Record{{Key: "s", Value: []byte("order"), Age: clock.Second}}})
+	rows := []struct {
+		name    string
+		begin   Begin
+		changed bool
+	}{
+		{"what is known", Begin{Key: "s", Age: clock.Second}, false},
+		{"later, by an instance that started anew", Begin{Key: "s"}, false},
+		{"earlier by less than messages take", Begin{Key: "s", Age: clock.Second + BeginSlack}, false},
+		{"of another order", Begin{Key: "s", Offset: 1, Age: clock.Minute}, false},
+		{"of an order that is not known", Begin{Key: "r", Age: clock.Minute}, false},
+		{"earlier", Begin{Key: "s", Age: 2 * clock.Second}, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			before := f.View().Version
+			if changed := f.Learn([]Begin{row.begin}, "peer"); changed != row.changed || (f.View().Version != before) != row.changed {
+				t.Errorf("changed %v, version %d after %d; want changed %v", changed, f.View().Version, before, row.changed)
+			}
+		})
+	}
+}
--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -39,6 +39,8 @@
 	suspicions int
 	// holds is the same for the listed holds.
 	holds int
+	// begins is when orders began as the peer has it, by their keys.
+	begins map[string]begin
 	// retry is when the peer may be asked again after a failure.
 	retry   clock.Millis
 	failing bool
@@ -49,6 +51,7 @@
 // missed the last one.
 func (p *peer) tellAgain() {
 	p.suspicions, p.holds = 0, 0
+	clear(p.begins)
 }
 
 // members is the set of known instances. Its methods take the lock.
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -57,6 +57,8 @@
 	// Heads say up to where the sender knows each feed.
 	Heads   map[registry.Feed]registry.Offset `json:"heads,omitempty"`
 	Batches []registry.Batch                  `json:"batches,omitempty"`
+	// Begins say when orders that the receiver has began, where it may not know that.
+	Begins []registry.Begin `json:"begins,omitempty"`
 	// Rows are the sender's own tallies to its zone's reader, and sums of zones
 	// between readers.
 	Rows []row `json:"rows,omitempty"`
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -141,6 +141,7 @@
 		p.holds = len(r.holds)
 		if p.heads != nil {
 			m.Batches = r.parts.Registry.Since(p.heads)
+			m.Begins = p.untold(r.parts.Registry.Begins(), now)
 		}
 	}
 	if withMembers {
@@ -173,6 +174,7 @@
 			p.heads = map[registry.Feed]registry.Offset{}
 		}
 		p.count = m.Count
+		p.hearBegins(m.Begins, now)
 		if p.hear(m, now) {
 			others = r.others(p, now)
 		}
@@ -209,6 +211,9 @@
 		b.Source = "peer " + m.From.Name
 		r.parts.Registry.Merge(b)
 	}
+	if len(m.Begins) > 0 {
+		r.parts.Registry.Learn(m.Begins, "peer "+m.From.Name)
+	}
 }
 
 // exchange tells one peer what is new and merges its answer.
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -45,8 +45,13 @@
 	reads atomic.Int64
 	// bytes counts what each address got and answered.
 	bytes map[string]int
-	// offset is the end of the orders feed at the store.
-	offset atomic.Int64
+	// offset is the end of the orders feed at the store, rollout the offset of the order
+	// of a roll-out there, or 0.
+	offset, rollout atomic.Int64
+	// delay is how long a question takes on its way.
+	delay time.Duration
+	// runs counts the starts of each instance.
+	runs map[string]int
 	// prepare sets a relay's functions before it runs.
 	prepare func(i int, r *Relay)
 }
@@ -67,6 +72,7 @@
 	if off {
 		return nil, errCutOff
 	}
+	time.Sleep(w.fleet.delay)
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, r)
 	w.fleet.mu.Lock()
@@ -85,7 +91,7 @@
 }
 
 func newPreparedFleet(ctx context.Context, zones, perZone int, prepare func(i int, r *Relay)) *fleet {
-	f := &fleet{handlers: map[string]http.Handler{}, bytes: map[string]int{}, cut: func(string, string) bool { return false }, lost: func(string) bool { return false }, deaf: func(string) bool { return false }, prepare: prepare}
+	f := &fleet{handlers: map[string]http.Handler{}, bytes: map[string]int{}, runs: map[string]int{}, cut: func(string, string) bool { return false }, lost: func(string) bool { return false }, deaf: func(string) bool { return false }, prepare: prepare}
 	f.offset.Store(1)
 	seeds := []string{"z0-0", "z1-0"}
 	for z := range zones {
@@ -100,9 +106,13 @@
 	c := clock.New()
 	store := registry.New(c, hclog.NewNullLogger())
 	store.Decode = func(r *registry.Record) (registry.Fact, error) {
+		if r.Key == "rollout" {
+			return registry.Fact{Order: &catalog.Order{Number: catalog.OrderNumber(r.Offset), Service: "s", Target: "v2", Span: orderSpan}}, nil
+		}
 		return registry.Fact{Config: catalog.NewConfig(catalog.Revision(r.Offset), nil, nil, nil, false, catalog.Limits{})}, nil
 	}
-	relay := New(Member{Name: name, Zone: zone, Address: name, Run: "1"}, seeds, Parts{
+	f.runs[name]++
+	relay := New(Member{Name: name, Zone: zone, Address: name, Run: fmt.Sprint(f.runs[name])}, seeds, Parts{
 		Registry: store, Client: wire{f, name}, Clock: c, Random: rand.New(rand.NewPCG(1, 2)), Logger: hclog.NewNullLogger(), Scope: tally.NoopScope,
 	})
 	f.prepare(len(f.relays), relay)
@@ -146,6 +156,9 @@
 		if b.Head > from {
 			b.Records = []registry.Record{{Feed: feed, Key: "config", Offset: b.Head - 1, Value: []byte("x")}}
 		}
+		if at := registry.Offset(f.rollout.Load()); at > 0 && at >= from {
+			b.Records = slices.Insert(b.Records, 0, registry.Record{Feed: feed, Key: "rollout", Offset: at, Value: []byte("x")})
+		}
 	}
 	return b, nil
 }
