Keep a session on the new release that it ran on when that has no room

Cause: a new release without room gave way to the old one for each request, also for one whose session was pinned to the new release. Now such a request is refused with a time to come back; sessions that are not pinned still get the old release, and after a roll-back all do.

Evidence: TestPinnedSessionDoesNotGoBack failed before in its first row: "the request went to v1, want v2".

Ruled out: to wait for room inside the request, which holds callers that a Retry-After serves as well. What stays: an instance knows only of sessions that ran at itself, so one that ran on the new release elsewhere still gives way.

--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -899,3 +899,53 @@
 		})
 	}
 }
+
+// Guards against a session that goes back to the old release when the new one, on which
+// it ran and which is good, has no endpoint with room.
+func TestPinnedSessionDoesNotGoBack(t *testing.T) {
+	rows := []struct {
+		name    string
+		session string
+		// stopped is true if the new release was rolled back meanwhile.
+		stopped bool
+		release catalog.Release
+	}{
+		{"a session that ran on the new release", "pinned", false, "v2"},
+		{"a session that did not", "fresh", false, "v1"},
+		{"no session", "", false, "v1"},
+		{"a session that ran on a release that was rolled back", "pinned", true, "v1"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				full := false
+				b.answer = func(_ int, a *Attempt) (*Answer, error) {
+					if full && a.Endpoint.Release == "v2" {
+						return turnedAway(), nil
+					}
+					return stream(90, io.EOF, "1"), nil
+				}
+				const span = 20 * clock.Second
+				b.order(5, span)
+				time.Sleep(16 * time.Second) // All sessions get the new release.
+				b.serve(t.Context(), "/note/x", func(r *Request) { r.Session = "pinned" })
+				if first := b.sent[0].Endpoint.Release; first != "v2" {
+					t.Fatalf("the session began on %s", first)
+				}
+				full = true
+				if row.stopped {
+					b.relay.Stop(5, "evidence")
+				}
+				c := b.serve(t.Context(), "/note/x", func(r *Request) { r.ID, r.Session = "r2", row.session })
+				last := b.sent[len(b.sent)-1].Endpoint.Release
+				if last != row.release {
+					t.Errorf("the request went to %s, want %s", last, row.release)
+				}
+				if refused := c.Status == http.StatusServiceUnavailable; refused != (row.release == "v2") {
+					t.Errorf("status %d, sent to %s last", c.Status, last)
+				}
+			})
+		})
+	}
+}
--- a/entry/forward/releases.go
+++ b/entry/forward/releases.go
@@ -182,17 +182,11 @@
 	case registry.OutcomeRolledBack:
 		return ArmOld
 	}
-	now := r.clock.Mono()
-	r.mu.Lock()
-	last, pinned := r.sessions[session]
-	r.mu.Unlock()
-	if pinned && now < last.until {
-		if last.release == p.order.Target {
-			return ArmNew
-		}
-		if rollout.FirstHalf(p.elapsed, p.order.Span) {
-			return ArmOld
-		}
+	switch last, pinned := r.pinned(session); {
+	case pinned && last == p.order.Target:
+		return ArmNew
+	case pinned && rollout.FirstHalf(p.elapsed, p.order.Span):
+		return ArmOld
 	}
 	if bucket(p.order, session) >= rollout.Share(p.elapsed, p.order.Span, r.limits.Load().Exposure) {
 		return ArmOld
@@ -203,6 +197,15 @@
 	return ArmNew
 }
 
+// pinned returns the release on which a session ran last, if that binds it still.
+func (r *releases) pinned(session string) (catalog.Release, bool) {
+	now := r.clock.Mono()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last, ok := r.sessions[session]
+	return last.release, ok && now < last.until
+}
+
 // remember pins a session to the release on which it runs, until the session's
 // span after the time at which it is known or expected to end.
 func (r *releases) remember(session string, release catalog.Release, ends clock.Millis, p *progress) {
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -167,7 +167,8 @@
 	return string(t.request.ID)
 }
 
-// find picks an endpoint; a new release without endpoints gives way to the old one.
+// find picks an endpoint; a new release without endpoints gives way to the old one, except
+// for a session that ran on it.
 func (t *task) find() placement.Choice {
 	if t.late() {
 		return placement.Choice{Reason: routing.Reason(ReasonLate)}
@@ -178,7 +179,7 @@
 	if choice.State != nil {
 		return choice
 	}
-	if t.release == "" && t.arm == ArmNew {
+	if t.release == "" && t.arm == ArmNew && !t.pinnedToNew() {
 		t.arm = ArmOld
 		q.Accept, q.Pack = t.releases.old(t.view, t.progress), ""
 		choice = t.endpoints.choose(t.view, t.service, q)
@@ -190,6 +191,12 @@
 	return choice
 }
 
+// pinnedToNew reports whether the request's session is pinned to the new release.
+func (t *task) pinnedToNew() bool {
+	last, pinned := t.releases.pinned(t.sessionKey())
+	return pinned && last == t.progress.order.Target
+}
+
 func (t *task) repeatable() bool {
 	return t.route.Repeat == catalog.RepeatFreely || t.route.Stream && t.route.Resumable
 }
