Ask instances that left whether they are back

Cause: the fleet was in two parts. An instance that starts knows only the seeds; while those stop or start again themselves, it meets at most others like it, and so does not ask the store for members either. The rest of the fleet leaves alone whoever said that it leaves.

Now the reader of each zone asks one peer a round, that left or did not answer last, whether it is back; each at most once a second, and beside the round, so that a machine that is gone delays none.

Evidence: TestSeedsStartAgainTogether failed before: "z2-1 puts the order 9995 ms before z0-0", "z0-0 counts 2 instances of 5", for good.

Ruled out: a longer wait for peers before the store is read, as there is no peer to answer; the exchange of begins, which is right as soon as the parts meet.

--- a/entry/relay/begins_test.go
+++ b/entry/relay/begins_test.go
@@ -188,3 +188,40 @@
 		}
 	})
 }
+
+// Guards against a fleet in two parts after all seeds stopped and started again at once:
+// those knew only each other, and the rest left alone whoever had said that it leaves.
+func TestSeedsStartAgainTogether(t *testing.T) {
+	inBubble(t, func(ctx context.Context) {
+		f := newFleet(ctx, 0, 0)
+		f.delay = linkDelay
+		seeds := []string{"z0-0", "z1-0"}
+		fleet := map[string]*live{}
+		for _, name := range []string{"z0-0", "z1-0", "z2-0", "z2-1", "z3-0"} {
+			fleet[name] = f.start(ctx, name[:2], name, seeds)
+		}
+		time.Sleep(5 * time.Second)
+		f.order()
+		ordered := time.Now()
+		time.Sleep(6 * time.Second)
+		for _, name := range seeds {
+			fleet[name].relay.Leave()
+		}
+		time.Sleep(3 * time.Second)
+		for _, name := range seeds {
+			f.end(fleet[name])
+		}
+		time.Sleep(time.Second)
+		for _, name := range seeds {
+			fleet[name] = f.start(ctx, name[:2], name, seeds)
+		}
+		// They are found, meet in the round after it, and tell the others in one more.
+		time.Sleep((revisitPause + 4*period).Duration())
+		f.checkBegin(t, fleet, ordered)
+		for name, l := range fleet {
+			if n := l.relay.Instances(); n < len(fleet) {
+				t.Errorf("%s counts %d instances of %d", name, n, len(fleet))
+			}
+		}
+	})
+}
--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -45,6 +45,8 @@
 	retry   clock.Millis
 	failing bool
 	leaving bool
+	// revisited is when the peer, which was away, was last asked whether it is back.
+	revisited clock.Millis
 }
 
 // tellAgain has the next message tell everything that is told once: the peer may have
@@ -112,6 +114,25 @@
 	return oldest
 }
 
+// away returns the peer that left or did not answer last and was asked longest ago whether
+// it is back, and notes that it is asked now; or nil. Most members of other zones are only
+// not heard of, and are none.
+func (m *members) away(now clock.Millis) *peer {
+	var oldest *peer
+	for _, p := range m.peers {
+		if !p.leaving && !p.failing || now < p.revisited+revisitPause {
+			continue
+		}
+		if oldest == nil || p.revisited < oldest.revisited {
+			oldest = p
+		}
+	}
+	if oldest != nil {
+		oldest.revisited = now
+	}
+	return oldest
+}
+
 // ranked returns the live members of a zone in the order in which they take duties.
 func (m *members) ranked(zone ticket.ZoneName, now clock.Millis) []Member {
 	var list []Member
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -36,6 +36,9 @@
 	exchangeWait = 600 * time.Millisecond
 	// retryPause is how long a peer is left alone after a failed exchange.
 	retryPause = clock.Second
+	// revisitPause is how long a peer that left or did not answer is left alone before it is
+	// asked whether it is back: processes start again within seconds.
+	revisitPause = clock.Second
 	// lonelySpan is the age of the view from which peers anywhere are asked.
 	lonelySpan = 1200 * clock.Millis(1)
 	// maxMessage bounds a message in bytes: the store's largest record four times
@@ -270,6 +273,9 @@
 	}
 	p.retry = now + retryPause
 	p.tellAgain()
+	if p.leaving {
+		return
+	}
 	if !p.failing {
 		p.failing = true
 		r.logger.Info("peer-lost", "peer", name, "address", address, "heard-ms", int64(now-p.heard), "error", err)
--- a/entry/relay/rounds.go
+++ b/entry/relay/rounds.go
@@ -40,9 +40,25 @@
 	r.turn++
 	withMembers := r.turn%membersEvery == 1
 	r.mu.Unlock()
+	r.revisit(ctx, now)
 	r.each(ctx, r.targets(now), withMembers)
 }
 
+// revisit has a zone's reader ask one peer that is away whether it is back: one that starts
+// again knows only the seeds, which may have started again themselves. The round does not
+// wait for the answer, as a machine that is gone gives none.
+func (r *Relay) revisit(ctx context.Context, now clock.Millis) {
+	m := r.members
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ranked(m.self.Zone, now)[0].Name != m.self.Name {
+		return
+	}
+	if p := m.away(now); p != nil {
+		go r.exchange(ctx, p.member.Address, p.member.Name, true)
+	}
+}
+
 // each exchanges with all targets at once.
 func (r *Relay) each(ctx context.Context, targets []target, withMembers bool) {
 	var wait sync.WaitGroup
