--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -36,6 +36,9 @@
 	exchangeWait = 600 * time.Millisecond
 	// retryPause is how long a peer is left alone after a failed exchange.
 	retryPause = clock.Second
+	// revisitPause is how long a peer that left or did not answer is left alone before it is
+	// asked whether it is back: processes start again within seconds.
+	revisitPause = clock.Second
 	// lonelySpan is the age of the view from which peers anywhere are asked.
 	lonelySpan = 1200 * clock.Millis(1)
 	// maxMessage bounds a message in bytes: the store's largest record four times
@@ -141,6 +144,7 @@
 		p.holds = len(r.holds)
 		if p.heads != nil {
 			m.Batches = r.parts.Registry.Since(p.heads)
+			m.Begins = p.untold(r.parts.Registry.Begins(), now)
 		}
 	}
 	if withMembers {
@@ -173,6 +177,7 @@
 			p.heads = map[registry.Feed]registry.Offset{}
 		}
 		p.count = m.Count
+		p.hearBegins(m.Begins, now)
 		if p.hear(m, now) {
 			others = r.others(p, now)
 		}
@@ -209,6 +214,9 @@
 		b.Source = "peer " + m.From.Name
 		r.parts.Registry.Merge(b)
 	}
+	if len(m.Begins) > 0 {
+		r.parts.Registry.Learn(m.Begins, "peer "+m.From.Name)
+	}
 }
 
 // exchange tells one peer what is new and merges its answer.
@@ -265,6 +273,9 @@
 	}
 	p.retry = now + retryPause
 	p.tellAgain()
+	if p.leaving {
+		return
+	}
 	if !p.failing {
 		p.failing = true
 		r.logger.Info("peer-lost", "peer", name, "address", address, "heard-ms", int64(now-p.heard), "error", err)
