--- a/entry/relay/restarts_test.go
+++ b/entry/relay/restarts_test.go
@@ -15,8 +15,8 @@
 // before it asks the store for members.
 const lonelyWait = 1500 * time.Millisecond
 
-// start adds a run of an instance that looks for members as the program does.
-func (f *fleet) start(ctx context.Context, zone ticket.ZoneName, name, run string, seeds []string, announced func() []Member) {
+// startRun adds a run of an instance that looks for members as the program does.
+func (f *fleet) startRun(ctx context.Context, zone ticket.ZoneName, name, run string, seeds []string, announced func() []Member) {
 	f.prepare = func(_ int, r *Relay) { r.members.self.Run = run }
 	f.add(ctx, zone, name, seeds)
 	r := f.relays[len(f.relays)-1]
@@ -63,7 +63,7 @@
 					one, end := context.WithCancel(ctx)
 					ends[m.Name] = end
 					last[m.Name] = len(f.relays)
-					f.start(one, m.Zone, m.Name, run, seeds, announced)
+					f.startRun(one, m.Zone, m.Name, run, seeds, announced)
 				}
 				for z, size := range []int{3, 2, 2, 2} {
 					for i := range size {
