Bound a begun stream's waiting by its time and by what it costs others

Now a rest ends with the time; after as many refusals in a row as any request may have, each further one waits for a rest; the repeat is taken with the place.

--- a/entry/forward/place.go
+++ b/entry/forward/place.go
@@ -29,13 +29,18 @@
 		t.next = nil
 		return choice
 	}
+	// Beyond the sends that any request has, one that was turned away rests first.
+	rests := t.begun && t.refused >= t.route.Attempts+extraSends
 	for waited := clock.Millis(0); ; waited += t.rest {
 		choice := placement.Choice{Reason: reasonBudget}
-		if !t.owes || t.endpoints.takeRetry(t.service.Name) || !t.begun {
-			t.owes = false
+		if !rests && (!t.owes || !t.begun || t.endpoints.hasRetry(t.service.Name)) {
 			choice = t.find()
 		}
-		hopeless := choice.Considered == 0 && !t.owes && t.releases.ended(t.view, t.service.Name, t.release)
+		if choice.State != nil && t.owes {
+			t.owes = false
+			t.endpoints.takeRetry(t.service.Name)
+		}
+		hopeless := choice.Considered == 0 && choice.Reason != reasonBudget && t.releases.ended(t.view, t.service.Name, t.release)
 		if choice.State != nil || !t.begun || t.late() || hopeless {
 			if waited > 0 {
 				t.logger.Info("resume-waited", "request", t.request.ID, "ms", int64(waited), "found", choice.State != nil)
@@ -47,9 +52,10 @@
 				"release", t.release, "runs", t.runs, "unsent", t.unsent, "left-ms", int64(t.deadline-t.clock.Mono()))
 		}
 		t.rest = min(longestRest, max(firstRest, 2*t.rest))
-		if t.clock.Sleep(ctx, t.rest) != nil {
+		if t.clock.Sleep(ctx, min(t.rest, t.deadline-t.clock.Mono())) != nil {
 			return choice
 		}
+		rests = false
 		t.tried = nil // What turned it away may have room by now.
 	}
 }
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -61,6 +61,8 @@
 	owes bool
 	// next is the place found before the last attempt was given up, or nil.
 	next *placement.Choice
+	// refused counts endpoints in a row that turned the request away.
+	refused int
 	// rest is how long a begun stream last waited for a place.
 	rest clock.Millis
 }
@@ -273,6 +275,7 @@
 	switch {
 	case answer.NotRun || answer.Moved:
 		end.Result = attempt.ResultNotRun
+		t.refused++
 		answer.Close()
 		r.end()
 		if answer.Moved {
@@ -286,7 +289,7 @@
 		r.end()
 	default:
 		t.count()
-		t.rest = 0
+		t.rest, t.refused = 0, 0
 		end.Result = attempt.ResultAnswered
 		r.first()
 		if t.unsure(answer) {
