Leave stuck and dead endpoints with the last attempt, in time for the caller

Found by the review: a begun stream with one attempt left stayed until its deadline at an endpoint that accepts channels and never speaks again, while callers leave after eight gaps; a dead endpoint of the last attempt, or one met after refusals, was never looked at, though dead ones do not count; and a verdict that an event had refuted could be applied to a later silence.

Now the last attempt may leave a living endpoint after six gaps, a dead one after two failed probes, and each look begins with a new verdict.

--- a/entry/forward/patience.go
+++ b/entry/forward/patience.go
@@ -15,7 +15,7 @@
 		Left: left, FirstBy: left, After: t.after, Weights: t.weights, Stream: t.route.Stream,
 		Gap: t.gap(), Once: !t.repeatable(),
 	}
-	if t.repeatable() && t.sends <= t.route.Attempts-1 {
+	if t.repeatable() && (t.begun || t.sends <= t.route.Attempts-1) {
 		a.FirstBy = min(left, t.patience())
 	}
 	r.patience = a.FirstBy
@@ -29,7 +29,11 @@
 func (r *run) waits(ctx context.Context) bool {
 	t := r.task
 	end := attempt.End{Sent: attempt.SentSome}
-	if !t.repeatable() || !t.another(&end) || !t.endpoints.hasRetry(t.service.Name) {
+	denied, wasDead := t.denial(&end), r.dead
+	r.dead = false
+	// A begun stream without attempts may still leave an endpoint that died.
+	last := t.begun && denied == DenialAttempts
+	if !t.repeatable() || denied != "" && !last || !t.endpoints.hasRetry(t.service.Name) {
 		return true
 	}
 	now := t.clock.Mono()
@@ -38,11 +42,11 @@
 		since, patience, limit = r.eventAt, t.gap(), clock.Millis(pauseGaps*float64(t.route.GapGoal))
 	}
 	heard, waits := now-t.endpoints.lastHeard(r.state), false
-	if now-since < limit || !t.spare() || !t.elsewhere(ctx) {
+	if now-since < limit || !t.spare(now-since) || !t.elsewhere(ctx) {
 		// An endpoint that leaves refuses channels and finishes what it runs; had it
 		// ended, its machine would have closed this one, too.
 		r.dead = heard >= patience && t.probe(ctx, r.endpoint) == KindNotSent
-		waits = !r.dead
+		waits = !r.dead || last && !wasDead // One lost probe must not end the last attempt.
 	}
 	if !waits {
 		t.logger.Info("silence", "request", t.request.ID, "endpoint", r.endpoint.ID, "quiet-ms", int64(now-since),
@@ -51,10 +55,13 @@
 	return waits
 }
 
-// spare reports whether the request may leave an endpoint that lives. A begun stream
-// keeps its last attempt for one that dies.
-func (t *task) spare() bool {
-	return !t.begun || t.runs+1 < t.route.Attempts
+// spare reports whether the request may leave an endpoint that lives and has been silent
+// for so long. A begun stream keeps its last attempt for one that dies, while it can.
+func (t *task) spare(rest clock.Millis) bool {
+	if !t.begun || t.runs+1 < t.route.Attempts {
+		return true
+	}
+	return t.runs < t.route.Attempts && rest >= clock.Millis(lastGaps*float64(t.route.GapGoal))
 }
 
 // elsewhere reports whether another endpoint has room for the request now, and accepts
@@ -104,9 +111,11 @@
 	plainSilenceGoals = 2.5
 	// gapGoals is the part of the longest pause after which a stream goes on
 	// elsewhere if its engine is silent, pauseGaps how many such pauses it may
-	// rest at an engine that answers others.
+	// rest at an engine that answers others, and lastGaps how many before it leaves
+	// that with its last attempt: callers leave after eight.
 	gapGoals  = 0.45
 	pauseGaps = 1.6
+	lastGaps  = 6.0
 )
 
 // patience is how long a repeatable request waits for an answer's head.
