Probe a silent endpoint again before its run is taken back

Found by the review: one lost packet of a probe let a living endpoint pass for dead, and its run did not count for the route's attempts; four endpoints that live could run a request of three attempts.

--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -318,7 +318,7 @@
 		if r.dead || t.endpoints.lastHeard(r.state) < r.sentAt {
 			t.endpoints.lost(r.state, kind)
 		}
-		if r.dead {
+		if r.dead && t.probe(context.WithoutCancel(ctx), r.endpoint) == KindNotSent {
 			t.runs-- // It does not count for the attempts; see alive.
 		}
 		r.rate(true)
