--- a/entry/router/attempts.go
+++ b/entry/router/attempts.go
@@ -55,7 +55,7 @@
 	a.job.router.parts.Learner.Expose(a.version)
 	var last error
 	for ran := 0; ran < maxAttempts; {
-		if ran > 0 && !a.job.router.takeRetry() {
+		if ran > 0 && !a.mayRetry(ctx) {
 			return a.giveUp(ctx, last, "no retry budget")
 		}
 		a.alone = a.job.router.parts.Learner.Verdict(a.job.digest) == quarantine.VerdictSuspect
@@ -77,6 +77,17 @@
 	return a.giveUp(ctx, last, "too many attempts")
 }
 
+// mayRetry takes a repeat from the budget; a stream that has begun waits for one.
+func (a *attempts) mayRetry(ctx context.Context) bool {
+	r := a.job.router
+	for until := r.clock.Mono() + brokenWait; !r.takeRetry(); {
+		if a.received == 0 || r.clock.Mono()+maxEndpointWait > until || r.clock.Sleep(ctx, maxEndpointWait) != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // mayHaveRun reports whether a failed attempt may have reached an engine.
 func mayHaveRun(err error) bool {
 	kind := fault.KindOf[endpoint.Kind](err)
