Tell a refused caller of the release in use, not of one that is gone

Callers were told no-endpoint and to come back in a second while the new release was full: without room there the old one was looked at, and its empty result replaced the first. It also kept the new release from the second look that takes endpoints out of reach a moment ago.

Now both looks go over both releases, and a refusal speaks of the release that the request should have, if that has endpoints. TestRefusalTellsOfTheReleaseInUse failed before.

--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -961,3 +961,27 @@
 		})
 	}
 }
+
+// Guards against a caller that is told of a release that is gone, to come back in a
+// second, when the endpoints of the one that replaced it are full.
+func TestRefusalTellsOfTheReleaseInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		b.order(5, 20*clock.Second)
+		var gone []registry.Record
+		for i := range 4 {
+			gone = append(gone, registry.Record{Key: fmt.Sprint("engines", i), Gone: true, Offset: registry.Offset(9 + i)})
+		}
+		b.registry.Merge(registry.Batch{Feed: registry.FeedEndpoints, Records: gone, From: 9, Head: 13})
+		time.Sleep(16 * time.Second) // All sessions get the new release.
+		b.answer = func(int, *Attempt) (*Answer, error) { return stream(90, io.EOF, "1"), nil }
+		if c := b.serve(t.Context(), "/note/x", nil); c.Reason != ReasonServed {
+			t.Fatalf("%+v", c.Result)
+		}
+		b.endpoints.others(map[routing.EndpointID]int{"new": 6000})
+		c := b.serve(t.Context(), "/note/x", func(r *Request) { r.ID = "r2" })
+		if c.Reason != ReasonFull || c.RetryAfter == 0 || c.RetryAfter == clock.Second {
+			t.Errorf("%+v, want %s", c.Result, ReasonFull)
+		}
+	})
+}
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -175,28 +175,43 @@
 	return string(t.request.ID)
 }
 
-// find picks an endpoint; a new release without endpoints gives way to the old one, except
-// for a session that ran on it.
+// find picks an endpoint; a new release without room gives way to the old one, except
+// for a session that ran on it. Without an endpoint it tells of the release that the
+// request should have, if that has any.
 func (t *task) find() placement.Choice {
 	if t.late() {
 		return placement.Choice{Reason: routing.Reason(ReasonLate)}
 	}
 	var q *placement.Query
 	q, t.aim = t.query()
-	choice := t.endpoints.choose(t.view, t.service, q)
-	if choice.State != nil {
-		return choice
+	type side struct {
+		arm    Arm
+		accept func(*catalog.Endpoint) bool
+		pack   string
 	}
+	sides := []side{{t.arm, q.Accept, q.Pack}}
 	if t.release == "" && t.arm == ArmNew && !t.pinnedToNew() {
-		t.arm = ArmOld
-		q.Accept, q.Pack = t.releases.old(t.view, t.progress), ""
-		choice = t.endpoints.choose(t.view, t.service, q)
+		sides = append(sides, side{ArmOld, t.releases.old(t.view, t.progress), ""})
 	}
-	if choice.State == nil && !q.Risky {
-		q.Risky = true
-		choice = t.endpoints.choose(t.view, t.service, q)
+	var told placement.Choice
+	for _, risky := range []bool{false, true} {
+		if q.Risky && !risky {
+			continue // Nothing is gained by a first look.
+		}
+		q.Risky = risky
+		for _, s := range sides {
+			q.Accept, q.Pack = s.accept, s.pack
+			choice := t.endpoints.choose(t.view, t.service, q)
+			if choice.State != nil {
+				t.arm = s.arm
+				return choice
+			}
+			if told.Considered == 0 {
+				told = choice
+			}
+		}
 	}
-	return choice
+	return told
 }
 
 // pinnedToNew reports whether the request's session is pinned to the new release.
