Log the first peer and how many members are known

An island of instances that know only each other left no line in the log; it was found by comparing when each instance took an outcome.

--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -133,6 +133,19 @@
 	return oldest
 }
 
+// known returns how many of the members are alive, with this instance.
+func (m *members) known(now clock.Millis) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 1
+	for _, p := range m.peers {
+		if m.alive(p, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // ranked returns the live members of a zone in the order in which they take duties.
 func (m *members) ranked(zone ticket.ZoneName, now clock.Millis) []Member {
 	var list []Member
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -41,6 +41,10 @@
 	revisitPause = clock.Second
 	// lonelySpan is the age of the view from which peers anywhere are asked.
 	lonelySpan = 1200 * clock.Millis(1)
+	// knownPeriod is the shortest time between two log lines on the number of members.
+	knownPeriod = 2 * clock.Second
+	// knownChange is the part by which that number changes before it is logged.
+	knownChange = 0.3
 	// maxMessage bounds a message in bytes: the store's largest record four times
 	// over as a configuration, and some thousand endpoints with 300 bytes each, all
 	// in base64, are half of it.
@@ -89,6 +93,11 @@
 	missed map[string]bool
 	met    bool
 	urged  chan struct{}
+
+	// logged is the number of known members in the log, loggedAt when it was written;
+	// they belong to the goroutine of Run.
+	logged   int
+	loggedAt clock.Millis
 }
 
 // New returns a Relay of an instance that at first knows the addresses of some peers.
@@ -190,7 +199,10 @@
 		r.Loaded(others) // The pool asks this relay under its lock, so none is held.
 	}
 	r.mu.Lock()
-	r.met = true
+	if !r.met {
+		r.met = true
+		r.logger.Info("first-peer", "peer", m.From.Name, "zone", m.From.Zone, "members", len(m.Members), "leaving", m.Leaving)
+	}
 	for _, e := range m.Rows {
 		if e.Zone != "" {
 			r.zones.Merge([]evidence.Row{e.decode(string(e.Zone))})
--- a/entry/relay/rounds.go
+++ b/entry/relay/rounds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -31,6 +32,17 @@
 	}
 }
 
+// noteKnown logs that much more or fewer members are known than before.
+func (r *Relay) noteKnown(now clock.Millis) {
+	n := r.members.known(now)
+	change := math.Abs(float64(n - r.logged))
+	if change < knownChange*float64(max(n, r.logged)) || change == 0 || r.logged > 0 && now-r.loggedAt < knownPeriod {
+		return
+	}
+	r.logger.Info("members", "known", n, "before", r.logged)
+	r.logged, r.loggedAt = n, now
+}
+
 // target is a peer to exchange with.
 type target struct{ name, address string }
 
@@ -41,6 +53,7 @@
 	withMembers := r.turn%membersEvery == 1
 	r.mu.Unlock()
 	r.revisit(ctx, now)
+	r.noteKnown(now)
 	r.each(ctx, r.targets(now), withMembers)
 }
 
