Log how a response's delay was judged during a roll-out

A release that was slow and passed left no trace: no line had the usual delay or the verdict on a response, and release-good adds failed and slow ones up. The request line now has delay and usual-ms while the service has an order.

TestDelayLogLine: no logic is changed.

--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -659,11 +659,17 @@
 	}
 }
 
-// order adds an order for a second release, with one endpoint of that release.
+// order adds an order for a second release of the engines, with one endpoint of that
+// release.
 func (h *harness) order(number catalog.OrderNumber, duration clock.Millis) *catalog.Order {
-	order := &catalog.Order{Number: number, Service: "engines", Target: "v2", Duration: duration}
+	return h.orderOf("engines", number, duration)
+}
+
+// orderOf is like order for any service.
+func (h *harness) orderOf(service ticket.ServiceName, number catalog.OrderNumber, duration clock.Millis) *catalog.Order {
+	order := &catalog.Order{Number: number, Service: service, Target: "v2", Duration: duration}
 	h.objects["orderx"] = registry.Object{Order: order}
-	h.objects["newx"] = registry.Object{Endpoint: &catalog.Endpoint{ID: "new", StartedAt: 1, Service: "engines", Zone: "a", Release: "v2", Slots: 600}}
+	h.objects["newx"] = registry.Object{Endpoint: &catalog.Endpoint{ID: "new", StartedAt: 1, Service: service, Zone: "a", Release: "v2", Slots: 600}}
 	h.registry.Merge(registry.Batch{Feed: registry.FeedEndpoints, Records: []registry.Record{{Key: "new", Value: []byte("x"), Offset: 8}}, From: 8, Head: 9})
 	h.registry.Merge(registry.Batch{Feed: registry.FeedOrders, Records: []registry.Record{{Key: "order", Value: []byte("x"), Offset: 1}}, From: 1, Head: 2})
 	return order
--- a/entry/forward/record_test.go
+++ b/entry/forward/record_test.go
@@ -10,8 +10,10 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
+	"foxtailbridge/policy/rollout"
 )
 
 // Guards against a log line of an aborted response that does not show whether its
@@ -88,3 +90,55 @@
 		}
 	})
 }
+
+// Guards against a log that does not show whether a response of a release under way was
+// slow, and why a slow one did not count.
+func TestDelayLogLine(t *testing.T) {
+	rows := []struct {
+		name    string
+		elapsed clock.Millis
+		delay   time.Duration
+		want    string
+	}{
+		{"usual", 12 * clock.Second, 20 * time.Millisecond, "delay=usual usual-ms=20"},
+		{"slow at a new endpoint", 2 * clock.Second, 700 * time.Millisecond, "delay=slow-warmup"},
+		{"slow during the canary", 12 * clock.Second, 700 * time.Millisecond, "delay=slow usual-ms=20"},
+		{"slow past the canary", 19 * clock.Second, 700 * time.Millisecond, "delay=slow-past-canary usual-ms=20"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var log bytes.Buffer
+				h := newHarness()
+				h.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+				delay := 20 * time.Millisecond
+				h.respond = func(int, *Attempt) (*Response, error) { time.Sleep(delay); return plainResponse(200), nil }
+				for range 2 * minBaselineRuns {
+					h.serve(t.Context(), "/once/x", nil)
+				}
+				time.Sleep(warmupSpan.Duration())
+				for range 2 * minBaselineRuns {
+					h.serve(t.Context(), "/once/x", nil)
+				}
+				order := h.orderOf("plain", 5, 24*clock.Second)
+				h.serve(t.Context(), "/once/x", nil) // Starts the order's time.
+				time.Sleep(row.elapsed.Duration())
+				delay = row.delay
+				h.serve(t.Context(), "/once/x", func(r *Request) { r.Session = canarySession(order) })
+				lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+				if last := lines[len(lines)-1]; !strings.Contains(last, "release=v2") || !strings.Contains(last, row.want) {
+					t.Errorf("no %s of release v2 in %s", row.want, last)
+				}
+			})
+		})
+	}
+}
+
+// canarySession returns a session that the canary of an order takes.
+func canarySession(order *catalog.Order) string {
+	session := "s"
+	for sessionBucket(order, session) >= rollout.CanaryShare(0.15) {
+		session += "s"
+	}
+	return session
+}
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -41,10 +41,42 @@
 	now := t.clock.Mono()
 	t.endpoints.promptRead(r.state, t.request.PromptParts, r.key.model, &r.prefillTokens)
 	warmingUp := now-r.state.FirstSeen < warmupSpan
+	t.usualDelay = t.endpoints.expectedDelay(r.key)
 	slow := t.endpoints.recordDelay(r.state, r.key, now-r.sentAt, t.arm != ArmNew && !warmingUp)
-	r.slow = slow && !warmingUp && !t.pastCanary()
+	t.delay = t.delayVerdict(slow, warmingUp)
+	r.slow = t.delay == delaySlow
 }
 
+// delayVerdict returns the verdict on a delay.
+func (t *task) delayVerdict(slow, warmingUp bool) delayVerdict {
+	switch {
+	case t.usualDelay == 0:
+		return delayUnknown
+	case !slow:
+		return delayUsual
+	case warmingUp:
+		return delayWarmup
+	case t.pastCanary():
+		return delayPastCanary
+	}
+	return delaySlow
+}
+
+// delayVerdict says how a response's time to the first byte was judged.
+type delayVerdict string
+
+// Verdicts on a delay. Only delaySlow counts against a release.
+const (
+	// delayUnknown means that the usual delay is not known yet.
+	delayUnknown delayVerdict = "unknown"
+	delayUsual   delayVerdict = "usual"
+	delaySlow    delayVerdict = "slow"
+	// delayWarmup means slow, at an endpoint that is new.
+	delayWarmup delayVerdict = "slow-warmup"
+	// delayPastCanary means slow, at the new release after the canary phase.
+	delayPastCanary delayVerdict = "slow-past-canary"
+)
+
 // warmupSpan is how long a new endpoint may be slow.
 const warmupSpan = 4 * clock.Second
 
