Judge a plain response's delay by the median, without a fixed margin of 150 ms

What callers saw: a bad version of a plain service, several times slower, got 418 of 1,125 requests (199 allowed) and was completed as good.

Cause: a response was slow above 3.5 times the usual delay plus 150 ms. For responses of 17 ms that is 210 ms, and eight times 17 ms is 136 ms. The margin was made for streams, whose prompts differ in length, and swallows all that a slow release adds to a short response.

Change: a plain response is slow above three times the median of the old release's last 40, plus 10 ms. Waiting for a slot is not the release's fault, so the limit grows with the queue that the endpoint reports. Without a baseline, as after a restart, the route's goal is the limit. Streams are judged as before.

TestSlowPlainReleaseIsCounted failed before in four rows, as did TestSlowPlainResponseWithoutBaseline.

--- /dev/null
+++ b/entry/forward/delay_test.go
@@ -0,0 +1,79 @@
+package forward
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/evidence"
+	"foxtailbridge/policy/placement"
+)
+
+// Guards against a release that takes several times as long for short plain responses
+// and is never found slow, because a fixed margin exceeds all that it adds.
+func TestSlowPlainReleaseIsCounted(t *testing.T) {
+	rows := []struct {
+		name         string
+		usual, delay time.Duration
+		load         *placement.Load
+		wantBad      int64
+	}{
+		{"eight times as long, just above the goal", 15 * time.Millisecond, 120 * time.Millisecond, nil, 1},
+		{"eight times as long, within the goal", 8 * time.Millisecond, 64 * time.Millisecond, nil, 1},
+		{"four times as long", 20 * time.Millisecond, 80 * time.Millisecond, nil, 1},
+		{"twice as long", 15 * time.Millisecond, 30 * time.Millisecond, nil, 0},
+		{"a few milliseconds more", 2 * time.Millisecond, 12 * time.Millisecond, nil, 0},
+		{"waited for a slot as long as twelve requests before it take", 15 * time.Millisecond, 100 * time.Millisecond, &placement.Load{Running: 6, Waiting: 12, Slots: 6}, 0},
+		{"eight times as long behind such a queue", 15 * time.Millisecond, 360 * time.Millisecond, &placement.Load{Running: 6, Waiting: 12, Slots: 6}, 1},
+		{"an odd load report", 15 * time.Millisecond, 120 * time.Millisecond, &placement.Load{Running: 6, Waiting: -4, Slots: 0}, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness()
+				delay, load := row.usual, (*placement.Load)(nil)
+				h.respond = func(int, *Attempt) (*Response, error) {
+					time.Sleep(delay)
+					r := plainResponse(200)
+					r.Load = load
+					return r, nil
+				}
+				h.serve(t.Context(), "/once/x", nil) // The endpoints are first seen here.
+				time.Sleep(warmupSpan.Duration())
+				for range 2 * minBaselineRuns {
+					h.serve(t.Context(), "/once/x", nil)
+				}
+				order := h.orderOf("plain", 5, 24*clock.Second)
+				h.serve(t.Context(), "/once/x", nil) // Starts the order's time.
+				time.Sleep(12 * time.Second)
+				delay, load = row.delay, row.load
+				h.serve(t.Context(), "/once/x", func(r *Request) { r.Session = canarySession(order) })
+				got := h.relay.Sum(Series(order, "once", evidence.ArmTo))
+				if got.Rated() != 1 || got.Bad != row.wantBad {
+					t.Errorf("%+v counted, want %d bad of 1", got, row.wantBad)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an instance that restarted during a roll-out and calls no response slow,
+// as it has none of the old release to compare with.
+func TestSlowPlainResponseWithoutBaseline(t *testing.T) {
+	b := &delayBaseline{}
+	rows := []struct {
+		name        string
+		delay, goal clock.Millis
+		want        bool
+	}{
+		{"within the goal", 90, 100, false},
+		{"beyond the goal", 120, 100, true},
+		{"no goal", 120, 0, false},
+	}
+	for _, row := range rows {
+		if got := b.isSlowPlain(row.delay, row.goal, nil); got != row.want {
+			t.Errorf("%s: slow %v", row.name, got)
+		}
+	}
+}
--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -45,7 +45,7 @@
 	pools       map[ticket.ServiceName]*pool
 	byKey       map[endpointKey]*placement.State
 	// delays holds the usual time to the first byte for each route and model.
-	delays map[delayKey]*placement.MovingAverage
+	delays map[delayKey]*delayBaseline
 	// paces holds the usual time between stream events for each model.
 	paces map[ticket.ModelName]*paceBaseline
 	// routeFailures holds the usual share of failed runs on each route.
@@ -85,7 +85,7 @@
 		instances:     func() int { return 1 },
 		pools:         map[ticket.ServiceName]*pool{},
 		byKey:         map[endpointKey]*placement.State{},
-		delays:        map[delayKey]*placement.MovingAverage{},
+		delays:        map[delayKey]*delayBaseline{},
 		paces:         map[ticket.ModelName]*paceBaseline{},
 		routeFailures: map[catalog.RouteName]*placement.MovingAverage{},
 		sizes:         map[catalog.RouteName]*placement.MovingAverage{},
@@ -307,8 +307,8 @@
 }
 
 const (
-	// A response is slow if it takes longer than slowDelayFactor times the usual delay
-	// plus slowDelayMargin milliseconds.
+	// A stream is slow to begin if it takes longer than slowDelayFactor times the usual
+	// delay plus slowDelayMargin milliseconds, as prompts differ in length.
 	slowDelayFactor = 3.5
 	slowDelayMargin = 150.0
 	// minBaselineRuns is how many runs it takes to know the usual delay or pace.
@@ -322,26 +322,42 @@
 
 // recordDelay records a run's time to the first byte and reports whether it was slow
 // for its route and model. Only runs with baseline set update the usual delay.
-func (e *endpointTracker) recordDelay(s *placement.State, key delayKey, delay clock.Millis, baseline bool) bool {
+func (e *endpointTracker) recordDelay(r *run, delay clock.Millis, baseline bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	a := averageFor(e.delays, key, placement.MovingAverage{})
-	slow := a.Count >= minBaselineRuns && float64(delay) > slowDelayFactor*a.Mean+slowDelayMargin
-	if a.Count >= minBaselineRuns {
-		s.LatencyRatio.Add(float64(delay) / max(1, a.Mean))
+	b := e.delayBaseline(r.key)
+	route := r.task.route
+	slow := false
+	if route.Stream {
+		slow = b.mean.Count >= minBaselineRuns && float64(delay) > slowDelayFactor*b.mean.Mean+slowDelayMargin
+	} else {
+		slow = b.isSlowPlain(delay, route.FirstByteGoal, r.response.Load)
+	}
+	if b.mean.Count >= minBaselineRuns {
+		r.state.LatencyRatio.Add(float64(delay) / max(1, b.mean.Mean))
 	}
 	if baseline {
-		updateAverage(a, float64(delay), delayWindow)
+		b.add(delay)
 	}
 	return slow
 }
 
+// delayBaseline returns a key's baseline; the caller holds the lock.
+func (e *endpointTracker) delayBaseline(key delayKey) *delayBaseline {
+	b := e.delays[key]
+	if b == nil {
+		b = &delayBaseline{}
+		e.delays[key] = b
+	}
+	return b
+}
+
 // expectedDelay returns the usual time to the first byte, or 0 if it is not known.
 func (e *endpointTracker) expectedDelay(key delayKey) clock.Millis {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if a := e.delays[key]; a != nil && a.Count >= minBaselineRuns {
-		return clock.Millis(a.Mean)
+	if b := e.delays[key]; b != nil && b.mean.Count >= minBaselineRuns {
+		return clock.Millis(b.mean.Mean)
 	}
 	return 0
 }
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -42,7 +42,7 @@
 	t.endpoints.promptRead(r.state, t.request.PromptParts, r.key.model, &r.prefillTokens)
 	warmingUp := now-r.state.FirstSeen < warmupSpan
 	t.usualDelay = t.endpoints.expectedDelay(r.key)
-	slow := t.endpoints.recordDelay(r.state, r.key, now-r.sentAt, t.arm != ArmNew && !warmingUp)
+	slow := t.endpoints.recordDelay(r, now-r.sentAt, t.arm != ArmNew && !warmingUp)
 	t.delay = t.delayVerdict(slow, warmingUp)
 	r.slow = t.delay == delaySlow
 }
@@ -50,7 +50,7 @@
 // delayVerdict returns the verdict on a delay.
 func (t *task) delayVerdict(slow, warmingUp bool) delayVerdict {
 	switch {
-	case t.usualDelay == 0:
+	case !slow && t.usualDelay == 0:
 		return delayUnknown
 	case !slow:
 		return delayUsual
--- a/policy/placement/state.go
+++ b/policy/placement/state.go
@@ -34,6 +34,15 @@
 	return l != nil && float64(l.Running) >= highLoadUtilization*float64(l.Slots)
 }
 
+// QueueFactor is how many times as long as usual a response takes at an endpoint with
+// this load, because requests wait for a slot.
+func (l *Load) QueueFactor() float64 {
+	if l == nil || l.Slots <= 0 {
+		return 1
+	}
+	return 1 + float64(max(0, l.Waiting))/float64(l.Slots)
+}
+
 // State holds what one instance knows about one endpoint. It is not safe for
 // concurrent use.
 type State struct {
