Count slow plain responses against a release after the canary too

Cause: once the canary is over, a slow time to the first byte does not count, as it says little for a stream that reads prompts that nothing has cached. What replaces it, the pace of events, exists for streams only, so nothing judged the speed of a plain response while most of them were given.

A canary of 0.04 of 19 requests a second gives some six responses after the warm-up of the endpoints: too few to stop it.

Change: *moved-delay collects the verdicts on plain responses after the canary. It is judged against a fixed share of good ones and not against the old release's, which has no recent responses then that a disturbance would have slowed alike. A response without a known usual delay counts neither way.

Ruled out: a larger canary (it would use up the bound for releases that fail late).

TestSlowPlainReleaseIsCountedPastCanary and the row of TestOutcomes failed before.

--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -173,6 +173,8 @@
 			prior = forward.CanaryPaceGoodShare
 		case forward.PostCanaryPaceRoute:
 			prior = forward.PostCanaryPaceGoodShare
+		case forward.PostCanaryDelayRoute:
+			prior = forward.PostCanaryDelayGoodShare
 		}
 		verdict, decisive := rollout.EvaluateWindows(windows, prior)
 		if verdict == rollout.VerdictContinue {
@@ -197,11 +199,13 @@
 		if left > 0 && rollout.MayWaitForDrain(elapsed, order.Duration) {
 			return // Completing the order would shut down endpoints with requests in flight.
 		}
-		all, pace, moved, load := s.routes[allRoutes], s.routes[forward.CanaryPaceRoute], s.routes[forward.PostCanaryPaceRoute], s.routes[forward.HighLoadRoute]
+		all, pace, load := s.routes[allRoutes], s.routes[forward.CanaryPaceRoute], s.routes[forward.HighLoadRoute]
+		moved, delayed := s.routes[forward.PostCanaryPaceRoute], s.routes[forward.PostCanaryDelayRoute]
 		c.logger.Info("release-good", "service", order.Service, "target", order.Target, "order", order.Number, "answers", answers, "elapsed-ms", int64(elapsed), "old-left", left,
 			"good", all.to.Good, "bad", all.to.Bad, "old-good", all.from.Good, "old-bad", all.from.Bad,
 			"paced", pace.to.Rated(), "slower", pace.to.Bad, "old-paced", pace.from.Rated(), "old-slower", pace.from.Bad,
 			"moved", moved.to.Rated(), "moved-slow", moved.to.Bad,
+			"moved-plain", delayed.to.Rated(), "moved-plain-slow", delayed.to.Bad,
 			"loaded-good", load.to.Good, "loaded-bad", load.to.Bad)
 		state.outcome, state.decidedAt = registry.OutcomeCompleted, now
 	}
@@ -259,7 +263,7 @@
 		}
 	}
 	s.routes[allRoutes] = all
-	for _, route := range []catalog.RouteName{forward.HighLoadRoute, forward.CanaryPaceRoute, forward.PostCanaryPaceRoute} {
+	for _, route := range []catalog.RouteName{forward.HighLoadRoute, forward.CanaryPaceRoute, forward.PostCanaryPaceRoute, forward.PostCanaryDelayRoute} {
 		s.routes[route] = read(route)
 	}
 	return s
@@ -281,7 +285,8 @@
 			}
 		}
 		s := rollout.EvidenceWindow{To: t.to.Sub(old.to), From: worseTally(t.from, t.from.Sub(old.from)), BadEndpoints: len(bad), ReachedEndpoints: last.endpoints}
-		if route == forward.HighLoadRoute || route == forward.PostCanaryPaceRoute {
+		switch route {
+		case forward.HighLoadRoute, forward.PostCanaryPaceRoute, forward.PostCanaryDelayRoute:
 			// The answers counted on these routes come from the busiest endpoints only.
 			s.ReachedEndpoints = countBusy(state.history[first:], bad)
 		}
--- a/entry/duty/duty_test.go
+++ b/entry/duty/duty_test.go
@@ -222,6 +222,22 @@
 			}
 			f.addRatingsOn(forward.CanaryPaceRoute, 9, 6, false)
 		}, registry.OutcomeRolledBack, 4 * time.Second},
+		// Guards against completing a slow release of a plain service whose few canary
+		// responses prove nothing.
+		{"a release whose plain responses are slow once traffic moves is rolled back", func(f *fleet) {
+			f.addRatings(8, true)
+			time.Sleep(11 * time.Second)
+			f.addRatings(40, true)
+			f.addRatingsOn(forward.PostCanaryDelayRoute, 18, 4, true)
+			f.addRatingsOn(forward.PostCanaryDelayRoute, 18, 4, false)
+		}, registry.OutcomeRolledBack, 2 * time.Second},
+		{"a release with some slow plain responses once traffic moves is completed", func(f *fleet) {
+			f.addRatings(8, true)
+			time.Sleep(11 * time.Second)
+			f.addRatings(40, true)
+			f.addRatingsOn(forward.PostCanaryDelayRoute, 90, 4, true)
+			f.addRatingsOn(forward.PostCanaryDelayRoute, 10, 4, false)
+		}, registry.OutcomeCompleted, 9 * time.Second},
 		{"no outcome is decided without answers", func(*fleet) {}, registry.OutcomeRunning, 19 * time.Second},
 	}
 	for _, test := range tests {
--- a/entry/forward/delay.go
+++ b/entry/forward/delay.go
@@ -46,13 +46,22 @@
 	return sorted[n/2], true
 }
 
-// isSlowPlain reports whether a plain response is slow, given the load that its endpoint
-// reported with it, or nil. While the usual delay is not known, it is slow if it misses
-// its goal, if there is one.
-func (b *delayBaseline) isSlowPlain(delay, goal clock.Millis, load *placement.Load) bool {
+// judgePlain reports whether a plain response is slow, given the load that its endpoint
+// reported with it, or nil. While the usual delay is not known, the route's goal takes its
+// place; known is false if there is none either.
+func (b *delayBaseline) judgePlain(delay, goal clock.Millis, load *placement.Load) (slow, known bool) {
 	median, known := b.median()
 	if !known {
-		return goal > 0 && delay > goal
+		return goal > 0 && delay > goal, goal > 0
 	}
-	return float64(delay) > plainDelayFactor*float64(median)*load.QueueFactor()+float64(plainDelayMargin)
+	return float64(delay) > plainDelayFactor*float64(median)*load.QueueFactor()+float64(plainDelayMargin), true
+}
+
+// judgeStream reports whether a stream was slow to begin; known is false while the usual
+// delay is not known.
+func (b *delayBaseline) judgeStream(delay clock.Millis) (slow, known bool) {
+	if b.mean.Count < minBaselineRuns {
+		return false, false
+	}
+	return float64(delay) > slowDelayFactor*b.mean.Mean+slowDelayMargin, true
 }
--- a/entry/forward/delay_test.go
+++ b/entry/forward/delay_test.go
@@ -58,6 +58,42 @@
 	}
 }
 
+// Guards against a slow release of a plain service whose responses are dropped as evidence
+// once the canary is over, when nearly all of them are given.
+func TestSlowPlainReleaseIsCountedPastCanary(t *testing.T) {
+	rows := []struct {
+		name      string
+		delay     time.Duration
+		good, bad int64
+	}{
+		{"usual", 15 * time.Millisecond, 1, 0},
+		{"eight times as long", 120 * time.Millisecond, 0, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness()
+				delay := 15 * time.Millisecond
+				h.respond = func(int, *Attempt) (*Response, error) { time.Sleep(delay); return plainResponse(200), nil }
+				h.serve(t.Context(), "/once/x", nil) // The endpoints are first seen here.
+				time.Sleep(warmupSpan.Duration())
+				for range 2 * minBaselineRuns {
+					h.serve(t.Context(), "/once/x", nil)
+				}
+				order := h.orderOf("plain", 5, 24*clock.Second)
+				h.serve(t.Context(), "/once/x", nil) // Starts the order's time.
+				time.Sleep(19 * time.Second)
+				delay = row.delay
+				h.serve(t.Context(), "/once/x", nil)
+				got := h.relay.Sum(Series(order, PostCanaryDelayRoute, evidence.ArmTo))
+				if got.Good != row.good || got.Bad != row.bad {
+					t.Errorf("%+v counted, want %d good and %d bad", got, row.good, row.bad)
+				}
+			})
+		})
+	}
+}
+
 // Guards against an instance that restarted during a roll-out and calls no response slow,
 // as it has none of the old release to compare with.
 func TestSlowPlainResponseWithoutBaseline(t *testing.T) {
@@ -65,15 +101,15 @@
 	rows := []struct {
 		name        string
 		delay, goal clock.Millis
-		want        bool
+		slow, known bool
 	}{
-		{"within the goal", 90, 100, false},
-		{"beyond the goal", 120, 100, true},
-		{"no goal", 120, 0, false},
+		{"within the goal", 90, 100, false, true},
+		{"beyond the goal", 120, 100, true, true},
+		{"no goal", 120, 0, false, false},
 	}
 	for _, row := range rows {
-		if got := b.isSlowPlain(row.delay, row.goal, nil); got != row.want {
-			t.Errorf("%s: slow %v", row.name, got)
+		if slow, known := b.judgePlain(row.delay, row.goal, nil); slow != row.slow || known != row.known {
+			t.Errorf("%s: slow %v, known %v", row.name, slow, known)
 		}
 	}
 }
--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -321,17 +321,17 @@
 )
 
 // recordDelay records a run's time to the first byte and reports whether it was slow
-// for its route and model. Only runs with baseline set update the usual delay.
-func (e *endpointTracker) recordDelay(r *run, delay clock.Millis, baseline bool) bool {
+// for its route and model, if that is known. Only runs with baseline set update the usual
+// delay.
+func (e *endpointTracker) recordDelay(r *run, delay clock.Millis, baseline bool) (slow, known bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b := e.delayBaseline(r.key)
 	route := r.task.route
-	slow := false
 	if route.Stream {
-		slow = b.mean.Count >= minBaselineRuns && float64(delay) > slowDelayFactor*b.mean.Mean+slowDelayMargin
+		slow, known = b.judgeStream(delay)
 	} else {
-		slow = b.isSlowPlain(delay, route.FirstByteGoal, r.response.Load)
+		slow, known = b.judgePlain(delay, route.FirstByteGoal, r.response.Load)
 	}
 	if b.mean.Count >= minBaselineRuns {
 		r.state.LatencyRatio.Add(float64(delay) / max(1, b.mean.Mean))
@@ -339,7 +339,7 @@
 	if baseline {
 		b.add(delay)
 	}
-	return slow
+	return slow, known
 }
 
 // delayBaseline returns a key's baseline; the caller holds the lock.
--- a/entry/forward/evidence.go
+++ b/entry/forward/evidence.go
@@ -18,7 +18,7 @@
 
 // pastCanary reports whether the request goes to the new release and the canary phase
 // is over. The new release's endpoints then carry more load than others and read
-// prompts that none of them has cached, so their time to the first byte says little.
+// prompts that none of them has cached, so the time to a stream's first byte says little.
 func (t *task) pastCanary() bool {
 	return t.arm == ArmNew && t.progress != nil && t.progress.phase != rollout.PhaseCanary
 }
@@ -34,6 +34,9 @@
 	t.endpoints.recordOutcome(r.state, t.route, t.service.Name, failed)
 	if r.response != nil { // A broken connection says more about the endpoint than about its release.
 		r.countEvidence(t.route.Name, !failed && !r.slow)
+		if !t.route.Stream && t.pastCanary() && (t.delay == delayUsual || t.delay == delayPastCanary) {
+			r.countEvidence(PostCanaryDelayRoute, t.delay == delayUsual)
+		}
 		if r.response.Load.High() || t.arm == ArmOld {
 			r.countEvidence(HighLoadRoute, !failed)
 		}
@@ -86,6 +89,10 @@
 	// PostCanaryPaceRoute collects the pace of streams after the canary phase. A stream
 	// is bad if it is slow even for an endpoint under high load.
 	PostCanaryPaceRoute catalog.RouteName = "*moved-pace"
+	// PostCanaryDelayRoute collects the delay of plain responses after the canary phase,
+	// on all routes. It is kept apart from the routes' own evidence, as the old release
+	// may have no recent responses that a new disturbance would have slowed as well.
+	PostCanaryDelayRoute catalog.RouteName = "*moved-delay"
 )
 
 const (
@@ -96,6 +103,9 @@
 	// PostCanaryPaceRoute for a good release. Under high load some streams are slow
 	// because prompts are read concurrently.
 	PostCanaryPaceGoodShare = 0.8
+	// PostCanaryDelayGoodShare is the same on PostCanaryDelayRoute: packets that are lost
+	// and endpoints that are slow for other reasons slow some responses.
+	PostCanaryDelayGoodShare = 0.85
 )
 
 const (
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -42,15 +42,15 @@
 	t.endpoints.promptRead(r.state, t.request.PromptParts, r.key.model, &r.prefillTokens)
 	warmingUp := now-r.state.FirstSeen < warmupSpan
 	t.usualDelay = t.endpoints.expectedDelay(r.key)
-	slow := t.endpoints.recordDelay(r, now-r.sentAt, t.arm != ArmNew && !warmingUp)
-	t.delay = t.delayVerdict(slow, warmingUp)
+	slow, known := t.endpoints.recordDelay(r, now-r.sentAt, t.arm != ArmNew && !warmingUp)
+	t.delay = t.delayVerdict(slow, known, warmingUp)
 	r.slow = t.delay == delaySlow
 }
 
 // delayVerdict returns the verdict on a delay.
-func (t *task) delayVerdict(slow, warmingUp bool) delayVerdict {
+func (t *task) delayVerdict(slow, known, warmingUp bool) delayVerdict {
 	switch {
-	case !slow && t.usualDelay == 0:
+	case !known:
 		return delayUnknown
 	case !slow:
 		return delayUsual
@@ -65,7 +65,8 @@
 // delayVerdict says how a response's time to the first byte was judged.
 type delayVerdict string
 
-// Verdicts on a delay. Only delaySlow counts against a release.
+// Verdicts on a delay. delaySlow counts against a release, and so does delayPastCanary if
+// the response is plain.
 const (
 	// delayUnknown means that the usual delay is not known yet.
 	delayUnknown delayVerdict = "unknown"
