Judge the delay of plain responses after the canary on each route

Cause: *moved-delay was one sum over all routes. A fifth of the responses came from routes of 3 ms, on which no release can show as slow, so 21 of 101 were slow in all where it was 45 to 48 % on lot-credit, and 15 % is borne.

Change: the evidence is kept for each route, and the sum is formed where it is judged.

The row "slow on one route of many short responses" of TestOutcomes failed with the sum alone.

--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -84,6 +84,18 @@
 	badByEndpoint map[routing.EndpointID]int64
 }
 
+func newTallies() tallies {
+	return tallies{badByEndpoint: map[routing.EndpointID]int64{}}
+}
+
+// add adds the counts of another route.
+func (t *tallies) add(other tallies) {
+	t.from, t.to = t.from.Add(other.from), t.to.Add(other.to)
+	for endpoint, bad := range other.badByEndpoint {
+		t.badByEndpoint[endpoint] += bad
+	}
+}
+
 // New returns a Controller.
 func New(r *registry.Registry, relay *relay.Relay, c *clock.Clock, logger hclog.Logger) *Controller {
 	return &Controller{
@@ -167,16 +179,7 @@
 	for route, t := range s.routes {
 		answers = max(answers, t.to.Rated())
 		windows := c.windows(state, route, now)
-		prior := assumedGoodRate
-		switch route {
-		case forward.CanaryPaceRoute:
-			prior = forward.CanaryPaceGoodShare
-		case forward.PostCanaryPaceRoute:
-			prior = forward.PostCanaryPaceGoodShare
-		case forward.PostCanaryDelayRoute:
-			prior = forward.PostCanaryDelayGoodShare
-		}
-		verdict, decisive := rollout.EvaluateWindows(windows, prior)
+		verdict, decisive := rollout.EvaluateWindows(windows, assumedGoodShare(route))
 		if verdict == rollout.VerdictContinue {
 			continue
 		}
@@ -211,6 +214,20 @@
 	}
 }
 
+// assumedGoodShare returns the share of good answers assumed on a route before any answer
+// of the old release is rated.
+func assumedGoodShare(route catalog.RouteName) float64 {
+	switch {
+	case route == forward.CanaryPaceRoute:
+		return forward.CanaryPaceGoodShare
+	case route == forward.PostCanaryPaceRoute:
+		return forward.PostCanaryPaceGoodShare
+	case forward.IsPostCanaryDelay(route):
+		return forward.PostCanaryDelayGoodShare
+	}
+	return assumedGoodRate
+}
+
 // allRoutes is the key of the sum over all routes. A release that is bad on every
 // route is detected there first, because the sum gathers evidence fastest.
 const allRoutes catalog.RouteName = ""
@@ -253,17 +270,16 @@
 		to, from := forward.Series(order, route, evidence.ArmTo), forward.Series(order, route, evidence.ArmFrom)
 		return tallies{from: c.relay.Sum(from), to: c.relay.Sum(to), badByEndpoint: c.relay.BadEndpoints(to)}
 	}
-	all := tallies{badByEndpoint: map[routing.EndpointID]int64{}}
+	all, delayed := newTallies(), newTallies()
 	for _, route := range view.Config.RoutesOf(order.Service) {
-		t := read(route)
-		s.routes[route] = t
-		all.from, all.to = all.from.Add(t.from), all.to.Add(t.to)
-		for endpoint, bad := range t.badByEndpoint {
-			all.badByEndpoint[endpoint] += bad
-		}
+		s.routes[route] = read(route)
+		all.add(s.routes[route])
+		delay := forward.PostCanaryDelayOn(route)
+		s.routes[delay] = read(delay)
+		delayed.add(s.routes[delay])
 	}
-	s.routes[allRoutes] = all
-	for _, route := range []catalog.RouteName{forward.HighLoadRoute, forward.CanaryPaceRoute, forward.PostCanaryPaceRoute, forward.PostCanaryDelayRoute} {
+	s.routes[allRoutes], s.routes[forward.PostCanaryDelayRoute] = all, delayed
+	for _, route := range []catalog.RouteName{forward.HighLoadRoute, forward.CanaryPaceRoute, forward.PostCanaryPaceRoute} {
 		s.routes[route] = read(route)
 	}
 	return s
@@ -285,8 +301,7 @@
 			}
 		}
 		s := rollout.EvidenceWindow{To: t.to.Sub(old.to), From: worseTally(t.from, t.from.Sub(old.from)), BadEndpoints: len(bad), ReachedEndpoints: last.endpoints}
-		switch route {
-		case forward.HighLoadRoute, forward.PostCanaryPaceRoute, forward.PostCanaryDelayRoute:
+		if route == forward.HighLoadRoute || route == forward.PostCanaryPaceRoute || forward.IsPostCanaryDelay(route) {
 			// The answers counted on these routes come from the busiest endpoints only.
 			s.ReachedEndpoints = countBusy(state.history[first:], bad)
 		}
--- a/entry/duty/duty_test.go
+++ b/entry/duty/duty_test.go
@@ -74,7 +74,10 @@
 func (f *fleet) addInstance(ctx context.Context, name string) {
 	c := clock.New()
 	r := registry.New(c, hclog.NewNullLogger())
-	config := catalog.NewConfig(1, []*catalog.Route{{Name: "r", Host: "h", Prefix: "/", Split: []catalog.WeightedService{{Service: "s"}}}}, nil, nil, false, catalog.Limits{})
+	config := catalog.NewConfig(1, []*catalog.Route{
+		{Name: "r", Host: "h", Prefix: "/", Split: []catalog.WeightedService{{Service: "s"}}},
+		{Name: "short", Host: "h", Prefix: "/short/", Split: []catalog.WeightedService{{Service: "s"}}},
+	}, nil, nil, false, catalog.Limits{})
 	r.Decode = func(record *registry.Record) (registry.Object, error) {
 		switch record.Key {
 		case "config":
@@ -228,15 +231,23 @@
 			f.addRatings(8, true)
 			time.Sleep(11 * time.Second)
 			f.addRatings(40, true)
-			f.addRatingsOn(forward.PostCanaryDelayRoute, 18, 4, true)
-			f.addRatingsOn(forward.PostCanaryDelayRoute, 18, 4, false)
+			f.addRatingsOn(forward.PostCanaryDelayOn("r"), 18, 4, true)
+			f.addRatingsOn(forward.PostCanaryDelayOn("r"), 18, 4, false)
+		}, registry.OutcomeRolledBack, 2 * time.Second},
+		{"a release that is slow on one route of many short responses is rolled back", func(f *fleet) {
+			f.addRatings(8, true)
+			time.Sleep(11 * time.Second)
+			f.addRatings(40, true)
+			f.addRatingsOn(forward.PostCanaryDelayOn("r"), 18, 4, true)
+			f.addRatingsOn(forward.PostCanaryDelayOn("r"), 18, 4, false)
+			f.addRatingsOn(forward.PostCanaryDelayOn("short"), 120, 4, true)
 		}, registry.OutcomeRolledBack, 2 * time.Second},
 		{"a release with some slow plain responses once traffic moves is completed", func(f *fleet) {
 			f.addRatings(8, true)
 			time.Sleep(11 * time.Second)
 			f.addRatings(40, true)
-			f.addRatingsOn(forward.PostCanaryDelayRoute, 90, 4, true)
-			f.addRatingsOn(forward.PostCanaryDelayRoute, 10, 4, false)
+			f.addRatingsOn(forward.PostCanaryDelayOn("r"), 90, 4, true)
+			f.addRatingsOn(forward.PostCanaryDelayOn("r"), 10, 4, false)
 		}, registry.OutcomeCompleted, 9 * time.Second},
 		{"no outcome is decided without answers", func(*fleet) {}, registry.OutcomeRunning, 19 * time.Second},
 	}
--- a/entry/forward/delay_test.go
+++ b/entry/forward/delay_test.go
@@ -85,7 +85,7 @@
 				time.Sleep(19 * time.Second)
 				delay = row.delay
 				h.serve(t.Context(), "/once/x", nil)
-				got := h.relay.Sum(Series(order, PostCanaryDelayRoute, evidence.ArmTo))
+				got := h.relay.Sum(Series(order, PostCanaryDelayOn("once"), evidence.ArmTo))
 				if got.Good != row.good || got.Bad != row.bad {
 					t.Errorf("%+v counted, want %d good and %d bad", got, row.good, row.bad)
 				}
--- a/entry/forward/evidence.go
+++ b/entry/forward/evidence.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"strings"
+
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
@@ -35,7 +37,7 @@
 	if r.response != nil { // A broken connection says more about the endpoint than about its release.
 		r.countEvidence(t.route.Name, !failed && !r.slow)
 		if !t.route.Stream && t.pastCanary() && (t.delay == delayUsual || t.delay == delayPastCanary) {
-			r.countEvidence(PostCanaryDelayRoute, t.delay == delayUsual)
+			r.countEvidence(PostCanaryDelayOn(t.route.Name), t.delay == delayUsual)
 		}
 		if r.response.Load.High() || t.arm == ArmOld {
 			r.countEvidence(HighLoadRoute, !failed)
@@ -89,12 +91,25 @@
 	// PostCanaryPaceRoute collects the pace of streams after the canary phase. A stream
 	// is bad if it is slow even for an endpoint under high load.
 	PostCanaryPaceRoute catalog.RouteName = "*moved-pace"
-	// PostCanaryDelayRoute collects the delay of plain responses after the canary phase,
-	// on all routes. It is kept apart from the routes' own evidence, as the old release
-	// may have no recent responses that a new disturbance would have slowed as well.
+	// PostCanaryDelayRoute stands for the delay of plain responses after the canary phase on
+	// all routes; see PostCanaryDelayOn.
 	PostCanaryDelayRoute catalog.RouteName = "*moved-delay"
 )
 
+// PostCanaryDelayOn returns the pseudo-route that collects the delay of plain responses on
+// one route after the canary phase. It is kept apart from the route's own evidence, as the
+// old release may have no recent responses that a new disturbance would have slowed as
+// well, and from other routes, whose responses may be too short to show a slow release.
+func PostCanaryDelayOn(route catalog.RouteName) catalog.RouteName {
+	return PostCanaryDelayRoute + "/" + route
+}
+
+// IsPostCanaryDelay reports whether a pseudo-route is PostCanaryDelayRoute or one returned
+// by PostCanaryDelayOn.
+func IsPostCanaryDelay(route catalog.RouteName) bool {
+	return strings.HasPrefix(string(route), string(PostCanaryDelayRoute))
+}
+
 const (
 	// CanaryPaceGoodShare is the share of the old release's streams assumed to be good
 	// on CanaryPaceRoute.
@@ -103,7 +118,7 @@
 	// PostCanaryPaceRoute for a good release. Under high load some streams are slow
 	// because prompts are read concurrently.
 	PostCanaryPaceGoodShare = 0.8
-	// PostCanaryDelayGoodShare is the same on PostCanaryDelayRoute: packets that are lost
+	// PostCanaryDelayGoodShare is the same of delays after the canary phase: packets that are lost
 	// and endpoints that are slow for other reasons slow some responses.
 	PostCanaryDelayGoodShare = 0.85
 )
