Compare the delay of plain responses with the old release's in all phases

Cause: after the canary 13 of 47 responses of lot-credit and 9 of 21 of bin-lookup were slow, and against an assumed share of 0.15 neither is proof. The old release's own share is under 0.01, and the verdicts on its responses, and on the canary's, were left out.

Change: *delay takes the verdicts on plain responses of both releases in all phases; the assumed share is only the start. It replaces *moved-delay, and a slow plain response no longer counts on its route as well.

--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -176,9 +176,11 @@
 		state.history = state.history[1:]
 	}
 	answers := int64(0)
+	elapsed := now - order.StartedAt
+	phase := rollout.PhaseAt(elapsed, order.Duration)
 	for route, t := range s.routes {
 		answers = max(answers, t.to.Rated())
-		windows := c.windows(state, route, now)
+		windows := c.windows(state, route, phase, now)
 		verdict, decisive := rollout.EvaluateWindows(windows, assumedGoodShare(route))
 		if verdict == rollout.VerdictContinue {
 			continue
@@ -196,19 +198,18 @@
 		state.outcome, state.decidedAt = registry.OutcomeRolledBack, now
 		return
 	}
-	elapsed := now - order.StartedAt
-	if rollout.PhaseAt(elapsed, order.Duration) == rollout.PhaseDone && answers >= minAnswers {
+	if phase == rollout.PhaseDone && answers >= minAnswers {
 		left := c.inFlightOnOldReleases(view, order)
 		if left > 0 && rollout.MayWaitForDrain(elapsed, order.Duration) {
 			return // Completing the order would shut down endpoints with requests in flight.
 		}
 		all, pace, load := s.routes[allRoutes], s.routes[forward.CanaryPaceRoute], s.routes[forward.HighLoadRoute]
-		moved, delayed := s.routes[forward.PostCanaryPaceRoute], s.routes[forward.PostCanaryDelayRoute]
+		moved, delayed := s.routes[forward.PostCanaryPaceRoute], s.routes[forward.DelayRoute]
 		c.logger.Info("release-good", "service", order.Service, "target", order.Target, "order", order.Number, "answers", answers, "elapsed-ms", int64(elapsed), "old-left", left,
 			"good", all.to.Good, "bad", all.to.Bad, "old-good", all.from.Good, "old-bad", all.from.Bad,
 			"paced", pace.to.Rated(), "slower", pace.to.Bad, "old-paced", pace.from.Rated(), "old-slower", pace.from.Bad,
 			"moved", moved.to.Rated(), "moved-slow", moved.to.Bad,
-			"moved-plain", delayed.to.Rated(), "moved-plain-slow", delayed.to.Bad,
+			"plain", delayed.to.Rated(), "plain-slow", delayed.to.Bad, "old-plain", delayed.from.Rated(), "old-plain-slow", delayed.from.Bad,
 			"loaded-good", load.to.Good, "loaded-bad", load.to.Bad)
 		state.outcome, state.decidedAt = registry.OutcomeCompleted, now
 	}
@@ -222,8 +223,8 @@
 		return forward.CanaryPaceGoodShare
 	case route == forward.PostCanaryPaceRoute:
 		return forward.PostCanaryPaceGoodShare
-	case forward.IsPostCanaryDelay(route):
-		return forward.PostCanaryDelayGoodShare
+	case forward.IsDelay(route):
+		return forward.DelayGoodShare
 	}
 	return assumedGoodRate
 }
@@ -274,11 +275,11 @@
 	for _, route := range view.Config.RoutesOf(order.Service) {
 		s.routes[route] = read(route)
 		all.add(s.routes[route])
-		delay := forward.PostCanaryDelayOn(route)
+		delay := forward.DelayOn(route)
 		s.routes[delay] = read(delay)
 		delayed.add(s.routes[delay])
 	}
-	s.routes[allRoutes], s.routes[forward.PostCanaryDelayRoute] = all, delayed
+	s.routes[allRoutes], s.routes[forward.DelayRoute] = all, delayed
 	for _, route := range []catalog.RouteName{forward.HighLoadRoute, forward.CanaryPaceRoute, forward.PostCanaryPaceRoute} {
 		s.routes[route] = read(route)
 	}
@@ -287,7 +288,7 @@
 
 // windows returns the evidence on a route over the order's whole duration and over
 // each recent time window. The last sample of the history must be the current one.
-func (c *Controller) windows(state *orderState, route catalog.RouteName, now clock.Millis) []rollout.EvidenceWindow {
+func (c *Controller) windows(state *orderState, route catalog.RouteName, phase rollout.Phase, now clock.Millis) []rollout.EvidenceWindow {
 	last := state.history[len(state.history)-1]
 	t := last.routes[route]
 	list := []rollout.EvidenceWindow{{From: t.from, To: t.to, BadEndpoints: len(t.badByEndpoint), ReachedEndpoints: last.endpoints}}
@@ -301,8 +302,8 @@
 			}
 		}
 		s := rollout.EvidenceWindow{To: t.to.Sub(old.to), From: worseTally(t.from, t.from.Sub(old.from)), BadEndpoints: len(bad), ReachedEndpoints: last.endpoints}
-		if route == forward.HighLoadRoute || route == forward.PostCanaryPaceRoute || forward.IsPostCanaryDelay(route) {
-			// The answers counted on these routes come from the busiest endpoints only.
+		if route == forward.HighLoadRoute || route == forward.PostCanaryPaceRoute || forward.IsDelay(route) && phase.PastCanary() {
+			// These answers come from the busiest endpoints only.
 			s.ReachedEndpoints = countBusy(state.history[first:], bad)
 		}
 		list = append(list, s)
--- a/entry/duty/duty_test.go
+++ b/entry/duty/duty_test.go
@@ -231,23 +231,33 @@
 			f.addRatings(8, true)
 			time.Sleep(11 * time.Second)
 			f.addRatings(40, true)
-			f.addRatingsOn(forward.PostCanaryDelayOn("r"), 18, 4, true)
-			f.addRatingsOn(forward.PostCanaryDelayOn("r"), 18, 4, false)
+			f.addRatingsOn(forward.DelayOn("r"), 18, 4, true)
+			f.addRatingsOn(forward.DelayOn("r"), 18, 4, false)
 		}, registry.OutcomeRolledBack, 2 * time.Second},
 		{"a release that is slow on one route of many short responses is rolled back", func(f *fleet) {
 			f.addRatings(8, true)
 			time.Sleep(11 * time.Second)
 			f.addRatings(40, true)
-			f.addRatingsOn(forward.PostCanaryDelayOn("r"), 18, 4, true)
-			f.addRatingsOn(forward.PostCanaryDelayOn("r"), 18, 4, false)
-			f.addRatingsOn(forward.PostCanaryDelayOn("short"), 120, 4, true)
+			f.addRatingsOn(forward.DelayOn("r"), 18, 4, true)
+			f.addRatingsOn(forward.DelayOn("r"), 18, 4, false)
+			f.addRatingsOn(forward.DelayOn("short"), 120, 4, true)
+		}, registry.OutcomeRolledBack, 2 * time.Second},
+		{"a release with more slow plain responses than the old one has is rolled back", func(f *fleet) {
+			f.addRatings(8, true)
+			for i := range 300 {
+				f.relays[i%len(f.relays)].RecordRating(forward.Series(f.order, forward.DelayOn("r"), evidence.ArmFrom), i > 1)
+			}
+			time.Sleep(11 * time.Second)
+			f.addRatings(40, true)
+			f.addRatingsOn(forward.DelayOn("r"), 34, 4, true)
+			f.addRatingsOn(forward.DelayOn("r"), 13, 4, false)
 		}, registry.OutcomeRolledBack, 2 * time.Second},
 		{"a release with some slow plain responses once traffic moves is completed", func(f *fleet) {
 			f.addRatings(8, true)
 			time.Sleep(11 * time.Second)
 			f.addRatings(40, true)
-			f.addRatingsOn(forward.PostCanaryDelayOn("r"), 90, 4, true)
-			f.addRatingsOn(forward.PostCanaryDelayOn("r"), 10, 4, false)
+			f.addRatingsOn(forward.DelayOn("r"), 90, 4, true)
+			f.addRatingsOn(forward.DelayOn("r"), 10, 4, false)
 		}, registry.OutcomeCompleted, 9 * time.Second},
 		{"no outcome is decided without answers", func(*fleet) {}, registry.OutcomeRunning, 19 * time.Second},
 	}
--- a/entry/forward/delay_test.go
+++ b/entry/forward/delay_test.go
@@ -49,10 +49,13 @@
 				time.Sleep(12 * time.Second)
 				delay, load = row.delay, row.load
 				h.serve(t.Context(), "/once/x", func(r *Request) { r.Session = canarySession(order) })
-				got := h.relay.Sum(Series(order, "once", evidence.ArmTo))
+				got := h.relay.Sum(Series(order, DelayOn("once"), evidence.ArmTo))
 				if got.Rated() != 1 || got.Bad != row.wantBad {
 					t.Errorf("%+v counted, want %d bad of 1", got, row.wantBad)
 				}
+				if old := h.relay.Sum(Series(order, DelayOn("once"), evidence.ArmFrom)); old.Good != 1 {
+					t.Errorf("%+v counted for the old release, want 1 good to compare with", old)
+				}
 			})
 		})
 	}
@@ -85,7 +88,7 @@
 				time.Sleep(19 * time.Second)
 				delay = row.delay
 				h.serve(t.Context(), "/once/x", nil)
-				got := h.relay.Sum(Series(order, PostCanaryDelayOn("once"), evidence.ArmTo))
+				got := h.relay.Sum(Series(order, DelayOn("once"), evidence.ArmTo))
 				if got.Good != row.good || got.Bad != row.bad {
 					t.Errorf("%+v counted, want %d good and %d bad", got, row.good, row.bad)
 				}
--- a/entry/forward/evidence.go
+++ b/entry/forward/evidence.go
@@ -35,9 +35,9 @@
 	t := r.task
 	t.endpoints.recordOutcome(r.state, t.route, t.service.Name, failed)
 	if r.response != nil { // A broken connection says more about the endpoint than about its release.
-		r.countEvidence(t.route.Name, !failed && !r.slow)
-		if !t.route.Stream && t.pastCanary() && (t.delay == delayUsual || t.delay == delayPastCanary) {
-			r.countEvidence(PostCanaryDelayOn(t.route.Name), t.delay == delayUsual)
+		r.countEvidence(t.route.Name, !failed && !(r.slow && t.route.Stream))
+		if !t.route.Stream && (r.delay == delayUsual || r.delay == delaySlow) {
+			r.countEvidence(DelayOn(t.route.Name), r.delay == delayUsual)
 		}
 		if r.response.Load.High() || t.arm == ArmOld {
 			r.countEvidence(HighLoadRoute, !failed)
@@ -91,23 +91,20 @@
 	// PostCanaryPaceRoute collects the pace of streams after the canary phase. A stream
 	// is bad if it is slow even for an endpoint under high load.
 	PostCanaryPaceRoute catalog.RouteName = "*moved-pace"
-	// PostCanaryDelayRoute stands for the delay of plain responses after the canary phase on
-	// all routes; see PostCanaryDelayOn.
-	PostCanaryDelayRoute catalog.RouteName = "*moved-delay"
+	// DelayRoute stands for the delay of plain responses on all routes; see DelayOn.
+	DelayRoute catalog.RouteName = "*delay"
 )
 
-// PostCanaryDelayOn returns the pseudo-route that collects the delay of plain responses on
-// one route after the canary phase. It is kept apart from the route's own evidence, as the
-// old release may have no recent responses that a new disturbance would have slowed as
-// well, and from other routes, whose responses may be too short to show a slow release.
-func PostCanaryDelayOn(route catalog.RouteName) catalog.RouteName {
-	return PostCanaryDelayRoute + "/" + route
+// DelayOn returns the pseudo-route that collects the delay of plain responses on one route.
+// It is kept apart from other routes, whose responses may be too short to show a slow
+// release.
+func DelayOn(route catalog.RouteName) catalog.RouteName {
+	return DelayRoute + "/" + route
 }
 
-// IsPostCanaryDelay reports whether a pseudo-route is PostCanaryDelayRoute or one returned
-// by PostCanaryDelayOn.
-func IsPostCanaryDelay(route catalog.RouteName) bool {
-	return strings.HasPrefix(string(route), string(PostCanaryDelayRoute))
+// IsDelay reports whether a pseudo-route is DelayRoute or one returned by DelayOn.
+func IsDelay(route catalog.RouteName) bool {
+	return strings.HasPrefix(string(route), string(DelayRoute))
 }
 
 const (
@@ -118,9 +115,10 @@
 	// PostCanaryPaceRoute for a good release. Under high load some streams are slow
 	// because prompts are read concurrently.
 	PostCanaryPaceGoodShare = 0.8
-	// PostCanaryDelayGoodShare is the same of delays after the canary phase: packets that are lost
-	// and endpoints that are slow for other reasons slow some responses.
-	PostCanaryDelayGoodShare = 0.85
+	// DelayGoodShare is the share of plain responses assumed not to be slow before any of
+	// the old release's is judged: lost packets and endpoints that are slow for other
+	// reasons slow some.
+	DelayGoodShare = 0.85
 )
 
 const (
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -171,8 +171,8 @@
 	if t.firstByteAt > 0 {
 		args = append(args, "first-ms", int64(t.firstByteAt-t.request.ReceivedAt), "pause-ms", int64(t.longestEventGap))
 	}
-	if t.progress != nil && t.delay != "" {
-		args = append(args, "delay", t.delay, "usual-ms", int64(t.usualDelay))
+	if t.progress != nil && t.lastAnswered != nil {
+		args = append(args, "delay", t.lastAnswered.delay, "usual-ms", int64(t.lastAnswered.usualDelay))
 	}
 	if result.RetryAfter > 0 {
 		args = append(args, "retry-after-ms", int64(result.RetryAfter))
--- a/entry/forward/record_test.go
+++ b/entry/forward/record_test.go
@@ -103,7 +103,7 @@
 		{"usual", 12 * clock.Second, 20 * time.Millisecond, "delay=usual usual-ms=20"},
 		{"slow at a new endpoint", 2 * clock.Second, 700 * time.Millisecond, "delay=slow-warmup"},
 		{"slow during the canary", 12 * clock.Second, 700 * time.Millisecond, "delay=slow usual-ms=20"},
-		{"slow past the canary", 19 * clock.Second, 700 * time.Millisecond, "delay=slow-past-canary usual-ms=20"},
+		{"slow past the canary", 19 * clock.Second, 700 * time.Millisecond, "delay=slow usual-ms=20"},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -25,6 +25,10 @@
 	ended           bool
 	outcomeRecorded bool
 	slow            bool
+	// delay is the verdict on the response's delay, and usualDelay the usual one, or 0 if
+	// it was not known.
+	delay      delayVerdict
+	usualDelay clock.Millis
 	// paceCounted is true once the stream's pace was counted.
 	paceCounted bool
 	// headTimeout is the timeout for the response headers.
@@ -41,10 +45,11 @@
 	now := t.clock.Mono()
 	t.endpoints.promptRead(r.state, t.request.PromptParts, r.key.model, &r.prefillTokens)
 	warmingUp := now-r.state.FirstSeen < warmupSpan
-	t.usualDelay = t.endpoints.expectedDelay(r.key)
+	r.usualDelay = t.endpoints.expectedDelay(r.key)
 	slow, known := t.endpoints.recordDelay(r, now-r.sentAt, t.arm != ArmNew && !warmingUp)
-	t.delay = t.delayVerdict(slow, known, warmingUp)
-	r.slow = t.delay == delaySlow
+	r.delay = t.delayVerdict(slow, known, warmingUp)
+	r.slow = r.delay == delaySlow
+	t.lastAnswered = r
 }
 
 // delayVerdict returns the verdict on a delay.
@@ -56,7 +61,7 @@
 		return delayUsual
 	case warmingUp:
 		return delayWarmup
-	case t.pastCanary():
+	case t.route.Stream && t.pastCanary():
 		return delayPastCanary
 	}
 	return delaySlow
@@ -65,8 +70,7 @@
 // delayVerdict says how a response's time to the first byte was judged.
 type delayVerdict string
 
-// Verdicts on a delay. delaySlow counts against a release, and so does delayPastCanary if
-// the response is plain.
+// Verdicts on a delay. Only delaySlow counts against a release.
 const (
 	// delayUnknown means that the usual delay is not known yet.
 	delayUnknown delayVerdict = "unknown"
@@ -74,7 +78,8 @@
 	delaySlow    delayVerdict = "slow"
 	// delayWarmup means slow, at an endpoint that is new.
 	delayWarmup delayVerdict = "slow-warmup"
-	// delayPastCanary means slow, at the new release after the canary phase.
+	// delayPastCanary means a stream slow to begin, at the new release after the canary
+	// phase.
 	delayPastCanary delayVerdict = "slow-past-canary"
 )
 
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -57,10 +57,8 @@
 	// headSent is true once the stream's headers were sent to the caller.
 	headSent    bool
 	firstByteAt clock.Millis
-	// delay is the verdict on the last response's delay, and usualDelay the usual one, or
-	// 0 if it was not known.
-	delay      delayVerdict
-	usualDelay clock.Millis
+	// lastAnswered is the last run whose response's delay was judged, or nil.
+	lastAnswered *run
 	// longestEventGap is the longest wait for an event after the first byte.
 	longestEventGap clock.Millis
 	// retryDenied is why the last attempt may not be followed by another, or "".
--- a/policy/rollout/canary.go
+++ b/policy/rollout/canary.go
@@ -79,6 +79,11 @@
 	return p == PhaseLoad || p == PhaseFull
 }
 
+// PastCanary reports whether the new release gets a large share of the sessions.
+func (p Phase) PastCanary() bool {
+	return p != PhaseSettle && p != PhaseCanary
+}
+
 // CanaryShare returns the share of sessions that the new release gets in PhaseCanary.
 func CanaryShare(bound float64) float64 {
 	return canaryExposureShare * bound
