Suspect a request whose response had just begun when its endpoint crashed

What callers saw: one request crashed five endpoints, and each of those that it met as it came again; all that ran there broke off with it.

Cause: a request was suspected of a crash only if its response had not started. An endpoint sends the headers when it begins to run a request, so the request that crashes it always has them, and only bystanders that waited for a slot were suspected.

Change: a request is suspected until its response has run on for 500 ms after the first event. One that has run on for longer is a bystander.

Ruled out as the cause here: the probe (all five found the endpoint dead) and the digest (streams have one).

--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -99,6 +99,9 @@
 		t.longestEventGap = max(t.longestEventGap, now-last)
 		last = now
 		r.lastEventAt = now
+		if events == 1 {
+			r.firstEventAt = now
+		}
 		if events == paceSampleEvents {
 			t.countPace(r, now-start, events)
 		}
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -371,16 +371,17 @@
 	t.mayHaveRun = true
 }
 
-// checkAlive probes whether an endpoint survived a broken attempt. If it died before
-// its response started, the request is reported as a suspected cause of the crash. Runs
-// at endpoints that died do not count towards the route's attempts.
+// checkAlive probes whether an endpoint survived a broken attempt. If it died while the
+// request waited or had just begun to run there, the request is reported as a suspected
+// cause of the crash. Runs at endpoints that died do not count towards the route's
+// attempts.
 func (t *task) checkAlive(ctx context.Context, r *run) bool {
 	e := r.endpoint
 	if t.probe(context.WithoutCancel(ctx), e) == "" {
 		return true
 	}
 	t.endpoints.markUnreachable(r.state, KindBroken)
-	if t.digest != "" && r.response == nil {
+	if t.digest != "" && !r.ranOn() {
 		t.deps.Relay.ReportSuspicion(quarantine.Suspicion{Digest: t.digest, Crash: crashID(e)})
 	}
 	return false
