Quarantine prompt parts that crash endpoints

Cause: a request was known by its workspace, method, target and body only. No two requests with the part are alike, so each of them started anew, and nothing looked for what they share.

Change: a ledger of prompt parts, merged between instances as sets. A part but the last is suspected if its endpoint crashed between the headers and the first event of a response. Three crashes quarantine it, unless any response with it was ever completed: parts that many requests share are cleared by all others. What waited for a slot at a crashed endpoint is not suspected.

Ruled out: counting all requests at a crashed endpoint (15 to 30, most of them waited), and parts by how often they occur in crashes (a route's system prompt occurs in all).

TestDeadlyPromptPartIsQuarantined fails without the report of the crash: three further sends.

--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -31,6 +31,7 @@
 	if err == nil {
 		r.recordOutcome(false)
 		r.close()
+		t.deps.Relay.ClearParts(t.sharedParts())
 		if t.digest != "" {
 			t.deps.Relay.ClearSuspicion(t.digest)
 		}
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -140,9 +140,9 @@
 	}
 	if len(t.request.Body) > 0 || t.route.Retry == catalog.RetryFreely {
 		t.digest = t.request.digest(t.workspace)
-		if t.quarantined() {
-			return localReply(http.StatusBadGateway, ReasonQuarantined, 0), false
-		}
+	}
+	if t.quarantined() {
+		return localReply(http.StatusBadGateway, ReasonQuarantined, 0), false
 	}
 	return Result{}, true
 }
--- a/entry/forward/quarantine_test.go
+++ b/entry/forward/quarantine_test.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
+	"foxtailbridge/policy/placement"
 	"foxtailbridge/policy/quarantine"
 )
 
@@ -19,6 +21,10 @@
 			h.dead[a.Endpoint.ID] = true
 			return streamResponse(90, failWith(KindBroken)), nil
 		}
+		crash := h.respond
+		h.respond = func(int, *Attempt) (*Response, error) { return streamResponse(90, io.EOF, "1"), nil }
+		h.serve(t.Context(), "/note/z", nil) // Others with its shared part are sound.
+		h.respond = crash
 		for range 3 {
 			h.serve(t.Context(), "/note/x", nil)
 		}
@@ -84,3 +90,64 @@
 		})
 	}
 }
+
+// Guards against a prompt part that crashes each endpoint that begins to answer it, in
+// requests of which no two are alike: it is found on all instances, and sound requests that
+// share the other parts are served.
+func TestDeadlyPromptPartIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness()
+		parts := func(ids ...placement.PartID) func(*Request) {
+			return func(r *Request) {
+				r.Body = []byte(ids[len(ids)-1])
+				r.PromptParts = nil
+				for _, id := range ids {
+					r.PromptParts = append(r.PromptParts, placement.Part{ID: id, Tokens: 100})
+				}
+			}
+		}
+		h.respond = func(_ int, a *Attempt) (*Response, error) {
+			for _, part := range a.Request.PromptParts {
+				if part.ID == "deadly" {
+					h.dead[a.Endpoint.ID] = true
+					return streamResponse(90, failWith(KindBroken)), nil
+				}
+			}
+			return streamResponse(90, io.EOF, "1"), nil
+		}
+		h.serve(t.Context(), "/note/x", parts("system", "own9"))
+		for i := range 3 {
+			h.serve(t.Context(), "/note/x", parts("system", "deadly", placement.PartID(fmt.Sprint("own", i))))
+			clear(h.dead)
+			time.Sleep(5 * time.Second) // The endpoints are back.
+			if c := h.serve(t.Context(), "/note/x", parts("system", "sound", placement.PartID(fmt.Sprint("own", 10+i)))); c.Reason != ReasonServed {
+				t.Fatalf("a sound request: %s", c.Reason)
+			}
+		}
+		sent := len(h.sent)
+		if c := h.serve(t.Context(), "/note/x", parts("system", "deadly", "own20")); c.Reason != ReasonQuarantined || c.Status != http.StatusBadGateway || len(h.sent) != sent {
+			t.Errorf("%s, status %d, %d sends", c.Reason, c.Status, len(h.sent)-sent)
+		}
+		for _, ids := range [][]placement.PartID{{"system", "sound", "own21"}, {"system", "own22"}} {
+			if c := h.serve(t.Context(), "/note/x", parts(ids...)); c.Reason == ReasonQuarantined {
+				t.Errorf("%v is quarantined", ids)
+			}
+		}
+	})
+}
+
+// Guards against blaming the parts of requests that waited for a slot at an endpoint that
+// crashed: headers show that one had begun.
+func TestWaitingPromptPartsAreNotSuspected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness()
+		h.respond = func(_ int, a *Attempt) (*Response, error) {
+			h.dead[a.Endpoint.ID] = true
+			return nil, failWith(KindBroken)
+		}
+		h.serve(t.Context(), "/note/x", nil)
+		if len(h.sent) < 3 || h.relay.PartQuarantined("s") {
+			t.Errorf("%d sends, quarantined %v", len(h.sent), h.relay.PartQuarantined("s"))
+		}
+	})
+}
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -39,6 +39,9 @@
 	deadline clock.Millis
 	model    ticket.ModelName
 	tried    []*placement.State
+	// onTrial is true if the request finds out whether a quarantined prompt part still
+	// crashes endpoints.
+	onTrial bool
 	// runs counts attempts that may have run at endpoints that are still alive; sends
 	// counts all attempts except those in unsent.
 	runs  int
@@ -239,9 +242,34 @@
 // reasonQuarantined means that the request was quarantined since it was admitted.
 const reasonQuarantined = routing.Reason(ReasonQuarantined)
 
-// quarantined reports whether the request is known to crash endpoints.
+// quarantined reports whether the request, or a part of its prompt, is known to crash
+// endpoints.
 func (t *task) quarantined() bool {
-	return t.digest != "" && t.deps.Relay.Verdict(t.digest) == quarantine.VerdictQuarantined
+	if t.digest != "" && t.deps.Relay.Verdict(t.digest) == quarantine.VerdictQuarantined {
+		return true
+	}
+	for _, part := range t.sharedParts() {
+		if !t.deps.Relay.PartQuarantined(part) {
+			continue
+		}
+		t.onTrial = t.onTrial || t.sends == 0 && t.deps.Relay.TakePartTrial(part)
+		if !t.onTrial || t.sends > 0 { // A trial is one attempt.
+			t.logger.Info("part-quarantined", "request", t.request.ID, "part", part)
+			return true
+		}
+		t.logger.Info("part-trial", "request", t.request.ID, "part", part)
+	}
+	return false
+}
+
+// sharedParts returns the parts of the prompt that other requests may share: all but the
+// last, which is the request's or its session's own.
+func (t *task) sharedParts() []quarantine.Part {
+	var list []quarantine.Part
+	for i := range len(t.request.PromptParts) - 1 {
+		list = append(list, quarantine.Part(t.request.PromptParts[i].ID))
+	}
+	return list
 }
 
 // retryable reports whether the request may run more than once.
@@ -396,9 +424,15 @@
 		return true
 	}
 	t.endpoints.markUnreachable(r.state, KindBroken)
-	if t.digest != "" && !r.streamed {
+	if r.streamed {
+		return false
+	}
+	if t.digest != "" {
 		t.deps.Relay.ReportSuspicion(quarantine.Suspicion{Digest: t.digest, Crash: crashID(e)})
 	}
+	if r.response != nil { // Before its headers the request may merely have waited for a slot.
+		t.deps.Relay.ReportPartCrash(t.sharedParts(), crashID(e))
+	}
 	return false
 }
 
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -74,6 +74,8 @@
 	// LoadsAcked is the version of the last list that the sender received from the receiver.
 	LoadsAcked LoadVersion            `json:"loads-held,omitempty"`
 	Suspicions []quarantine.Suspicion `json:"suspicions,omitempty"`
+	// PromptParts holds what the sender knows of parts that may crash endpoints.
+	PromptParts []quarantine.PartReport `json:"prompt-parts,omitempty"`
 	// Holds holds the sessions that must stay on the old release of an order.
 	Holds   []SessionHold         `json:"holds,omitempty"`
 	Stops   []catalog.OrderNumber `json:"stops,omitempty"`
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -84,7 +84,9 @@
 	ledger *quarantine.Ledger
 	// suspicions holds the suspicions of the ledger in the order in which they were added.
 	suspicions []quarantine.Suspicion
-	stops      map[catalog.OrderNumber]bool
+	// parts holds the prompt parts that may crash endpoints.
+	parts *quarantine.PartLedger
+	stops map[catalog.OrderNumber]bool
 	// holdList holds the elements of holdSet in the order in which they were added.
 	holdList []SessionHold
 	holdSet  map[SessionHold]bool
@@ -114,6 +116,7 @@
 		own:                evidence.NewCounters(self.instanceID()),
 		zones:              evidence.NewCounters(""),
 		ledger:             quarantine.NewLedger(),
+		parts:              quarantine.NewPartLedger(),
 		stops:              map[catalog.OrderNumber]bool{},
 		holdSet:            map[SessionHold]bool{},
 		clients:            map[string]*connect.Client[Message, Message]{},
@@ -164,6 +167,7 @@
 	reader := r.members.ranked(m.From.Zone, now)[0].Name == m.From.Name
 	r.addLoads(m, p, local, reader, now)
 	r.members.mu.Unlock()
+	m.PromptParts = r.parts.Reports(now)
 	m.Tallies = r.tallyRows(zone == m.From.Zone, reader, m.From.Zone)
 	for number := range r.stops {
 		m.Stops = append(m.Stops, number)
@@ -217,6 +221,9 @@
 			r.logger.Info("suspicion-heard", "digest", s.Digest, "crash", s.Crash, "peer", m.From.Name)
 		}
 	}
+	for _, report := range m.PromptParts {
+		r.mergePart(report, "peer "+m.From.Name, now)
+	}
 	for _, hold := range m.Holds {
 		r.addHold(hold)
 	}
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -444,9 +444,17 @@
 		for i := range 3 {
 			f.relays[i*3].ReportSuspicion(quarantine.Suspicion{Digest: "d", Crash: quarantine.CrashID(fmt.Sprint("e", i))})
 		}
+		for i := range 3 {
+			crash := quarantine.CrashID(fmt.Sprint("e", i))
+			f.relays[i*3].ReportPartCrash([]quarantine.Part{"deadly", "system"}, crash)
+		}
+		f.relays[7].ClearParts([]quarantine.Part{"system"}) // It may not have heard of the part yet.
 		f.relays[4].StopRelease(9, "evidence")
 		time.Sleep(1500 * time.Millisecond)
 		for _, r := range f.relays {
+			if !r.PartQuarantined("deadly") || r.PartQuarantined("system") {
+				t.Errorf("%s: deadly %v, system %v", r.Self().Name, r.PartQuarantined("deadly"), r.PartQuarantined("system"))
+			}
 			if r.Verdict("d") != quarantine.VerdictQuarantined || !r.ReleaseStopped(9) {
 				t.Errorf("%s has not received the suspicions or the stop", r.Self().Name)
 			}
