Test that no plain response gets into a stream that has started

Reported by operators of other systems: after a break the error of the next endpoint appeared in the caller's stream, or the stream ended as if complete. Not possible here: events are parsed, and a resumed stream accepts event streams only. TestStreamDoesNotResumeAsPlainResponse had one row and has seven; all passed at once.

--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -372,21 +372,38 @@
 	}
 }
 
-// Guards against a broken stream that appears complete because the endpoint that should
-// resume it returns a plain response.
+// Guards against a broken stream that appears complete, or that holds the text of an error,
+// because the endpoint that should resume it returns a plain response.
 func TestStreamDoesNotResumeAsPlainResponse(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h := newHarness()
-		h.respond = func(n int, _ *Attempt) (*Response, error) {
-			if n == 1 {
-				return streamResponse(90, failWith(KindBroken), "1"), nil
-			}
-			return plainResponse(302), nil
-		}
-		if c := h.serve(t.Context(), "/note/x", nil); !c.Abort {
-			t.Errorf("the stream ends as if complete after %q", c.events)
-		}
-	})
+	rows := []struct {
+		name string
+		then func() *Response
+	}{
+		{"redirect", func() *Response { return plainResponse(302) }},
+		{"plain success", func() *Response { return plainResponse(200) }},
+		{"no content", func() *Response { return plainResponse(204) }},
+		{"rejected", rejected},
+		{"internal error", func() *Response { return plainResponse(500) }},
+		{"deadline passed", func() *Response { return plainResponse(504) }},
+		{"client error", func() *Response { return plainResponse(400) }},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness()
+				h.respond = func(n int, _ *Attempt) (*Response, error) {
+					if n == 1 {
+						return streamResponse(90, failWith(KindBroken), "1"), nil
+					}
+					return row.then(), nil
+				}
+				c := h.serve(t.Context(), "/note/x", nil)
+				if !c.Abort || c.events != "1;" || len(c.Body) > 0 || c.heads != 1 {
+					t.Errorf("abort %v, events %q, body %q, headers sent %d times", c.Abort, c.events, c.Body, c.heads)
+				}
+			})
+		})
+	}
 }
 
 // TestDeadEndpointsDoNotCount lets the endpoints of a stream die one after the other.
