Keep a prompt part quarantined when its record is full or old

Found by reading the change: a record that held its most crashes took no further ones, so the part was released ten minutes after the eighth and never quarantined again. A lapsed record now starts anew, and a full one still notes when the last crash was. Changes are reported to peers for 5 s instead of 30 s; quarantined parts always are.

TestPartIsQuarantinedAgain failed before.

--- a/policy/quarantine/parts.go
+++ b/policy/quarantine/parts.go
@@ -29,7 +29,7 @@
 	// partTTL is how long after its last crash a part is forgotten.
 	partTTL = 10 * clock.Minute
 	// reportTTL is how long a change of a part that is not quarantined is reported.
-	reportTTL = 30 * clock.Second
+	reportTTL = 5 * clock.Second
 	// maxParts bounds the parts tracked; each crash adds a few.
 	maxParts = 512
 	// maxPartCrashes bounds the crashes kept for one part.
@@ -71,7 +71,7 @@
 func (l *PartLedger) Merge(report PartReport, now clock.Millis) bool {
 	crashedAt := now - max(0, report.Age)
 	r := l.parts[report.Part]
-	if r == nil {
+	if r == nil || now-r.lastCrash > partTTL {
 		if len(report.Crashes) == 0 || now-crashedAt > partTTL {
 			return false // Peers that still hold an old report must not revive it.
 		}
@@ -81,13 +81,15 @@
 	}
 	changed := false
 	for _, crash := range report.Crashes {
-		if len(r.crashes) >= maxPartCrashes || slices.Contains(r.crashes, crash) {
+		if slices.Contains(r.crashes, crash) {
 			continue
 		}
-		r.crashes = append(r.crashes, crash)
+		if len(r.crashes) < maxPartCrashes {
+			r.crashes = append(r.crashes, crash)
+			changed = true
+		}
 		r.lastCrash = max(r.lastCrash, crashedAt)
-		r.trialAt = r.lastCrash + trialDelay<<min(r.trials, 5)
-		changed = true
+		r.trialAt = max(r.trialAt, r.lastCrash+trialDelay<<min(r.trials, 5))
 	}
 	at, completed := l.completed[report.Part]
 	if (report.Cleared || completed && now-at <= partTTL) && !r.cleared {
--- a/policy/quarantine/parts_test.go
+++ b/policy/quarantine/parts_test.go
@@ -85,6 +85,26 @@
 	}
 }
 
+// Guards against a part that is no longer quarantined once its record is full or old.
+func TestPartIsQuarantinedAgain(t *testing.T) {
+	l := NewPartLedger()
+	l.Merge(PartReport{Part: "p", Crashes: crashes(2 * maxPartCrashes)}, 0)
+	l.Merge(PartReport{Part: "p", Crashes: []CrashID{"later"}}, partTTL)
+	if !l.Quarantined("p", partTTL+clock.Second) {
+		t.Error("a crash after the record was full is ignored")
+	}
+	if l.TakeTrial("p", partTTL+clock.Second) {
+		t.Error("tried a second after a crash")
+	}
+	later := 3 * partTTL
+	if l.Merge(PartReport{Part: "p", Crashes: crashes(1)}, later); l.Quarantined("p", later) {
+		t.Error("quarantined by one crash after the record has lapsed")
+	}
+	if l.Merge(PartReport{Part: "p", Crashes: crashes(3)}, later); !l.Quarantined("p", later) {
+		t.Error("not quarantined by three crashes after the record has lapsed")
+	}
+}
+
 func TestPartLedgerIsBounded(t *testing.T) {
 	l := NewPartLedger()
 	for i := range 3 * maxParts {
