--- a/entry/forward/delay_test.go
+++ b/entry/forward/delay_test.go
@@ -1,15 +1,30 @@
 package forward
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
 	"foxtailbridge/policy/placement"
 )
 
+// startPlainOrder runs enough plain requests on the old release to know their usual delay,
+// and starts an order of 24 s.
+func (h *harness) startPlainOrder(ctx context.Context) *catalog.Order {
+	h.serve(ctx, "/once/x", nil) // The endpoints are first seen here.
+	time.Sleep(warmupSpan.Duration())
+	for range 2 * minBaselineRuns {
+		h.serve(ctx, "/once/x", nil)
+	}
+	order := h.orderOf("plain", 5, 24*clock.Second)
+	h.serve(ctx, "/once/x", nil) // Starts the order's time.
+	return order
+}
+
 // Guards against a release that takes several times as long for short plain responses
 // and is never found slow, because a fixed margin exceeds all that it adds.
 func TestSlowPlainReleaseIsCounted(t *testing.T) {
@@ -39,13 +54,7 @@
 					r.Load = load
 					return r, nil
 				}
-				h.serve(t.Context(), "/once/x", nil) // The endpoints are first seen here.
-				time.Sleep(warmupSpan.Duration())
-				for range 2 * minBaselineRuns {
-					h.serve(t.Context(), "/once/x", nil)
-				}
-				order := h.orderOf("plain", 5, 24*clock.Second)
-				h.serve(t.Context(), "/once/x", nil) // Starts the order's time.
+				order := h.startPlainOrder(t.Context())
 				time.Sleep(12 * time.Second)
 				delay, load = row.delay, row.load
 				h.serve(t.Context(), "/once/x", func(r *Request) { r.Session = canarySession(order) })
@@ -78,13 +87,7 @@
 				h := newHarness()
 				delay := 15 * time.Millisecond
 				h.respond = func(int, *Attempt) (*Response, error) { time.Sleep(delay); return plainResponse(200), nil }
-				h.serve(t.Context(), "/once/x", nil) // The endpoints are first seen here.
-				time.Sleep(warmupSpan.Duration())
-				for range 2 * minBaselineRuns {
-					h.serve(t.Context(), "/once/x", nil)
-				}
-				order := h.orderOf("plain", 5, 24*clock.Second)
-				h.serve(t.Context(), "/once/x", nil) // Starts the order's time.
+				order := h.startPlainOrder(t.Context())
 				time.Sleep(19 * time.Second)
 				delay = row.delay
 				h.serve(t.Context(), "/once/x", nil)
--- a/entry/forward/record_test.go
+++ b/entry/forward/record_test.go
@@ -113,15 +113,7 @@
 				h.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
 				delay := 20 * time.Millisecond
 				h.respond = func(int, *Attempt) (*Response, error) { time.Sleep(delay); return plainResponse(200), nil }
-				for range 2 * minBaselineRuns {
-					h.serve(t.Context(), "/once/x", nil)
-				}
-				time.Sleep(warmupSpan.Duration())
-				for range 2 * minBaselineRuns {
-					h.serve(t.Context(), "/once/x", nil)
-				}
-				order := h.orderOf("plain", 5, 24*clock.Second)
-				h.serve(t.Context(), "/once/x", nil) // Starts the order's time.
+				order := h.startPlainOrder(t.Context())
 				time.Sleep(row.elapsed.Duration())
 				delay = row.delay
 				h.serve(t.Context(), "/once/x", func(r *Request) { r.Session = canarySession(order) })
