--- a/entry/forward/quarantine_test.go
+++ b/entry/forward/quarantine_test.go
@@ -17,14 +17,13 @@
 func TestPoisonStreamIsQuarantined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness()
+		sound := func(int, *Attempt) (*Response, error) { return streamResponse(90, io.EOF, "1"), nil }
+		h.respond = sound
+		h.serve(t.Context(), "/note/z", nil) // Others with its shared part are sound.
 		h.respond = func(_ int, a *Attempt) (*Response, error) {
 			h.dead[a.Endpoint.ID] = true
 			return streamResponse(90, failWith(KindBroken)), nil
 		}
-		crash := h.respond
-		h.respond = func(int, *Attempt) (*Response, error) { return streamResponse(90, io.EOF, "1"), nil }
-		h.serve(t.Context(), "/note/z", nil) // Others with its shared part are sound.
-		h.respond = crash
 		for range 3 {
 			h.serve(t.Context(), "/note/x", nil)
 		}
@@ -33,7 +32,7 @@
 		if c := h.serve(t.Context(), "/note/x", nil); c.Reason != ReasonQuarantined || c.Status != http.StatusBadGateway || len(h.sent) != sent {
 			t.Errorf("%s, status %d after %d sends, then %d more", c.Reason, c.Status, sent, len(h.sent)-sent)
 		}
-		h.respond = func(int, *Attempt) (*Response, error) { return streamResponse(90, io.EOF, "1"), nil }
+		h.respond = sound
 		if c := h.serve(t.Context(), "/note/y", nil); c.Reason == ReasonQuarantined {
 			t.Error("another request is quarantined")
 		}
@@ -74,11 +73,10 @@
 		t.Run(row.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				h := newHarness()
-				crash := func(_ int, a *Attempt) (*Response, error) {
+				h.respond = func(_ int, a *Attempt) (*Response, error) {
 					h.dead[a.Endpoint.ID] = true
 					return row.respond()
 				}
-				h.respond = crash
 				c := h.serve(t.Context(), "/note/x", nil)
 				if len(h.sent) != 3 {
 					t.Errorf("%d endpoints were crashed, want 3", len(h.sent))
