Move the load lists of the relay into a pure package

Cause: an experiment on the choice of endpoints at hundreds of instances needs the lists that instances exchange, without the network. No change of behaviour; the message format is the same.

--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -10,6 +10,7 @@
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/loadlist"
 	"foxtailbridge/policy/placement"
 	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/share"
@@ -395,11 +396,11 @@
 
 // localInFlight returns this instance's in-flight requests at each endpoint, including
 // an allowance for failed runs.
-func (e *endpointTracker) localInFlight() map[routing.EndpointID]int {
+func (e *endpointTracker) localInFlight() loadlist.Counts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Mono()
-	counts := map[routing.EndpointID]int{}
+	counts := loadlist.Counts{}
 	for key, s := range e.byKey {
 		if n := s.AdvertisedLoad(now); n > 0 {
 			counts[key.id] += n
@@ -429,7 +430,7 @@
 
 // setRemoteInFlight sets the in-flight requests of all other instances at each
 // endpoint.
-func (e *endpointTracker) setRemoteInFlight(counts map[routing.EndpointID]int) {
+func (e *endpointTracker) setRemoteInFlight(counts loadlist.Counts) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Mono()
--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -8,6 +8,7 @@
 
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/loadlist"
 	"foxtailbridge/policy/ticket"
 )
 
@@ -36,7 +37,7 @@
 	receivedLoads loadList
 	sentLoads     loadList
 	// ackedLoads is the version of the last load list acknowledged by the peer.
-	ackedLoads LoadVersion
+	ackedLoads loadlist.Version
 	// suspicionsSent is the number of entries of Relay.suspicions sent to the peer.
 	suspicionsSent int
 	// holdsSent is the number of entries of Relay.holdList sent to the peer.
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -7,6 +7,7 @@
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
+	"foxtailbridge/policy/loadlist"
 	"foxtailbridge/policy/quarantine"
 	"foxtailbridge/policy/rollout"
 	"foxtailbridge/policy/routing"
@@ -68,12 +69,12 @@
 	Tallies []tallyRow `json:"rows,omitempty"`
 	// Loads holds the in-flight requests by endpoint of the instances in LoadsScope. If
 	// LoadsBase is set, it holds only the changes since the list of that version.
-	Loads        map[routing.EndpointID]int `json:"loads,omitempty"`
-	LoadsScope   LoadScope                  `json:"loads-of,omitempty"`
-	LoadsVersion LoadVersion                `json:"loads-at,omitempty"`
-	LoadsBase    LoadVersion                `json:"loads-since,omitempty"`
+	Loads        loadlist.Counts  `json:"loads,omitempty"`
+	LoadsScope   LoadScope        `json:"loads-of,omitempty"`
+	LoadsVersion loadlist.Version `json:"loads-at,omitempty"`
+	LoadsBase    loadlist.Version `json:"loads-since,omitempty"`
 	// LoadsAcked is the version of the last list that the sender received from the receiver.
-	LoadsAcked LoadVersion            `json:"loads-held,omitempty"`
+	LoadsAcked loadlist.Version       `json:"loads-held,omitempty"`
 	Suspicions []quarantine.Suspicion `json:"suspicions,omitempty"`
 	// PromptParts holds what the sender knows of parts that may crash endpoints.
 	PromptParts []quarantine.PartReport `json:"prompt-parts,omitempty"`
@@ -85,9 +86,6 @@
 	Leaving    bool                                       `json:"leaving,omitempty"`
 }
 
-// LoadVersion numbers the load lists that one instance sends another, starting at 1.
-type LoadVersion uint64
-
 // LoadScope is the set of instances whose requests a load list counts.
 type LoadScope string
 
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -19,9 +19,9 @@
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
+	"foxtailbridge/policy/loadlist"
 	"foxtailbridge/policy/quarantine"
 	"foxtailbridge/policy/rollout"
-	"foxtailbridge/policy/routing"
 )
 
 // procedure is the path of the exchange between instances.
@@ -67,9 +67,9 @@
 // Relay exchanges state with the other instances.
 type Relay struct {
 	// LocalLoads returns the number of this instance's in-flight requests by endpoint.
-	LocalLoads func() map[routing.EndpointID]int
+	LocalLoads func() loadlist.Counts
 	// OnRemoteLoads is called with the in-flight requests of all other instances by endpoint.
-	OnRemoteLoads func(others map[routing.EndpointID]int)
+	OnRemoteLoads func(others loadlist.Counts)
 
 	deps    Dependencies
 	logger  hclog.Logger
@@ -110,8 +110,8 @@
 // New returns a Relay for the instance self. It finds its first peers at the seed addresses.
 func New(self Member, seeds []string, deps Dependencies) *Relay {
 	return &Relay{
-		LocalLoads:         func() map[routing.EndpointID]int { return nil },
-		OnRemoteLoads:      func(map[routing.EndpointID]int) {},
+		LocalLoads:         func() loadlist.Counts { return nil },
+		OnRemoteLoads:      func(loadlist.Counts) {},
 		deps:               deps,
 		logger:             deps.Logger.Named("relay"),
 		members:            newMembers(self),
@@ -181,7 +181,7 @@
 
 // merge merges a peer's message.
 func (r *Relay) merge(m *Message, now clock.Millis) {
-	var others map[routing.EndpointID]int
+	var others loadlist.Counts
 	r.members.mu.Lock()
 	for _, entry := range m.Members {
 		if entry.Name != m.From.Name {
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -24,6 +24,7 @@
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
+	"foxtailbridge/policy/loadlist"
 	"foxtailbridge/policy/quarantine"
 	"foxtailbridge/policy/rollout"
 	"foxtailbridge/policy/routing"
@@ -475,11 +476,11 @@
 		var mu sync.Mutex
 		remote := map[string]int{}
 		f := newConfiguredFleet(ctx, 3, 4, func(i int, r *Relay) {
-			r.LocalLoads = func() map[routing.EndpointID]int {
+			r.LocalLoads = func() loadlist.Counts {
 				r.InstanceCount() // The endpoint tracker calls this while it holds its lock.
-				return map[routing.EndpointID]int{"e": i + 1}
+				return loadlist.Counts{"e": i + 1}
 			}
-			r.OnRemoteLoads = func(others map[routing.EndpointID]int) {
+			r.OnRemoteLoads = func(others loadlist.Counts) {
 				mu.Lock()
 				defer mu.Unlock()
 				remote[r.Self().Name] = others["e"]
@@ -507,12 +508,12 @@
 		remote := make([]map[routing.EndpointID]int, instances)
 		f := newConfiguredFleet(ctx, 2, instances/2, func(i int, r *Relay) {
 			counts[i] = map[routing.EndpointID]int{}
-			r.LocalLoads = func() map[routing.EndpointID]int {
+			r.LocalLoads = func() loadlist.Counts {
 				mu.Lock()
 				defer mu.Unlock()
 				return maps.Clone(counts[i])
 			}
-			r.OnRemoteLoads = func(others map[routing.EndpointID]int) {
+			r.OnRemoteLoads = func(others loadlist.Counts) {
 				mu.Lock()
 				defer mu.Unlock()
 				remote[i] = others
--- /dev/null
+++ b/policy/loadlist/loadlist_test.go
@@ -0,0 +1,54 @@
+package loadlist
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"foxtailbridge/policy/routing"
+)
+
+// TestDiff checks that a list kept up to date by its changes is close to the counts at any
+// time, exact where lists are short, and exact after a refresh cycle of steady counts.
+func TestDiff(t *testing.T) {
+	t.Run("random counts", rapid.MakeCheck(func(t *rapid.T) {
+		endpoints := rapid.SampledFrom([]int{3, maxExact, 3 * maxExact}).Draw(t, "endpoints")
+		list := List{}
+		counts := Counts{}
+		send := func() {
+			list.Apply(list.Diff(counts))
+			list.Version++
+		}
+		for range 20 {
+			for i := range endpoints {
+				n := rapid.IntRange(0, 40).Draw(t, "count")
+				id := routing.EndpointID(fmt.Sprint("e", i))
+				if delete(counts, id); n > 0 {
+					counts[id] = n
+				}
+			}
+			send()
+			for id, n := range counts {
+				got := list.Counts[id]
+				delta := max(n-got, got-n)
+				if delta > got/toleranceDivisor || delta > 0 && len(counts) <= maxExact {
+					t.Fatalf("%d of %d at %s, %d endpoints", got, n, id, len(counts))
+				}
+			}
+			for id := range list.Counts {
+				if counts[id] == 0 {
+					t.Fatalf("requests at %s, which has none", id)
+				}
+			}
+		}
+		for range refreshCycle {
+			send()
+		}
+		for id, n := range counts {
+			if list.Counts[id] != n {
+				t.Fatalf("%d of %d at %s after a refresh cycle", list.Counts[id], n, id)
+			}
+		}
+	}))
+}
