Choose endpoints by the room that is left for the whole fleet

Cause: an instance took the endpoint of least cost by loads that are 0.3 to 0.6 s old. 295 instances that see the same loads send hundreds of requests to what looks idle before they learn of each other.

Change: the requests that other instances have sent since (in-flight requests divided by the run time, times the age of the loads) raise the cheapest endpoints to one cost level; two endpoints are drawn by their room up to it, and the better one for the prompt is taken, or the home of its shared part, or an endpoint known to have it. A hot part has as many homes as its requests need. A retry budget below one retry is rounded up at random, so that such shares add up; a test with 9, 295 and 1,000 instances bounds their sum.

--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -29,25 +29,35 @@
 	// failures is the moving share of failed runs over all endpoints.
 	failures    placement.MovingAverage
 	retryBudget share.RetryBudget
-	// packableTime and totalTime are the time that recent packable runs and all recent runs
-	// took, in milliseconds with exponential decay.
-	packableTime, totalTime float64
+	// runTime is the mean time of a run in milliseconds. packableTime is the same with the
+	// time of runs that may not be packed taken as 0.
+	runTime, packableTime placement.MovingAverage
 }
 
 const (
-	// packTimeDecay is the weight of one run in packableTime and totalTime.
-	packTimeDecay = 1.0 / 200
+	// runTimeWindow is how many runs the mean times cover.
+	runTimeWindow = 200
 	// assumedPackableShare is the packable share before any run has ended.
 	assumedPackableShare = 0.6
+	// assumedRunTime is the mean time of a run before any has ended.
+	assumedRunTime = 500 * clock.Millis(1)
 )
 
 // addTime counts the time of a run that has ended.
 func (p *pool) addTime(took clock.Millis, packable bool) {
-	p.totalTime += float64(took) - packTimeDecay*p.totalTime
-	p.packableTime -= packTimeDecay * p.packableTime
-	if packable {
-		p.packableTime += float64(took)
+	updateAverage(&p.runTime, float64(took), runTimeWindow)
+	if !packable {
+		took = 0
 	}
+	updateAverage(&p.packableTime, float64(took), runTimeWindow)
+}
+
+// meanRunTime returns the mean time of a run.
+func (p *pool) meanRunTime() clock.Millis {
+	if p.runTime.Count == 0 {
+		return assumedRunTime
+	}
+	return clock.Millis(p.runTime.Mean)
 }
 
 // packableShare returns the share of a service's in-flight requests that may be packed.
@@ -55,10 +65,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p := e.pool(service)
-	if p.totalTime == 0 {
+	if p.runTime.Mean <= 0 {
 		return assumedPackableShare
 	}
-	return p.packableTime / p.totalTime
+	return p.packableTime.Mean / p.runTime.Mean
 }
 
 // endpointTracker tracks the endpoints, retry budgets and usual delays of all services.
@@ -85,6 +95,8 @@
 	sizes map[catalog.RouteName]*routeSize
 	// zones holds the reachability of each zone.
 	zones map[ticket.ZoneName]*zoneStatus
+	// parts counts the requests by shared part.
+	parts placement.PartRates
 }
 
 // zoneStatus counts a zone's endpoints that could not be reached in a row, and holds
@@ -160,17 +172,14 @@
 func (e *endpointTracker) pool(name ticket.ServiceName) *pool {
 	p := e.pools[name]
 	if p == nil {
-		p = &pool{retryBudget: share.RetryBudget{Ratio: e.limits.Load().RetryRatio * retryRatioShare, WindowLength: e.limits.Load().RetryWindow}}
+		p = &pool{retryBudget: share.RetryBudget{Ratio: e.limits.Load().RetryRatio * retryRatioShare, WindowLength: e.limits.Load().RetryWindow, Rounding: e.random.Float64()}}
 		e.pools[name] = p
 	}
 	return p
 }
 
 const (
-	// fleetLimitShare is the share of a fleet-wide limit that is used. The instances'
-	// windows are not aligned, so their sum could otherwise exceed the limit.
-	fleetLimitShare = 0.8
-	// retryRatioShare is the same for a limit proportional to the number of requests.
+	// retryRatioShare is share.FleetShare for a limit proportional to the number of requests.
 	// The requests of all instances add up exactly and only the windows differ, so the
 	// margin is smaller.
 	retryRatioShare = 0.9
@@ -242,12 +251,29 @@
 func (e *endpointTracker) prepareQuery(view *registry.State, service *catalog.Service, q *placement.Query) *pool {
 	q.Now = e.clock.Mono()
 	e.syncView(view, q.Now)
-	q.ColdRate = fleetLimitShare * service.ColdRate / float64(max(1, e.instances()))
+	instances := max(1, e.instances())
+	q.ColdRate = share.FleetShare * service.ColdRate / float64(instances)
 	q.ZoneUnreachable = func(zone ticket.ZoneName) bool {
 		z := e.zones[zone]
 		return z != nil && zone != q.Zone && q.Now < z.backoffUntil
 	}
-	return e.pool(service.Name)
+	p := e.pool(service.Name)
+	if instances > 1 {
+		q.Arrivals = max(1, placement.StaleArrivals(p.states, p.meanRunTime(), instances, q.Now))
+	}
+	return p
+}
+
+// countPart counts a request by its shared part and returns how many endpoints should share
+// that part.
+func (e *endpointTracker) countPart(service ticket.ServiceName, parts []placement.Part) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	slots, states := 0, e.pool(service).states
+	for _, s := range states {
+		slots += s.Endpoint.Slots
+	}
+	return e.parts.Homes(parts, slots/max(1, len(states)), e.instances(), e.clock.Mono())
 }
 
 // recordActivity records that data arrived from the endpoint.
@@ -459,7 +485,7 @@
 // fleet's slack; the caller holds the lock.
 func (e *endpointTracker) retryBudget(service ticket.ServiceName) *share.RetryBudget {
 	p := e.pool(service)
-	p.retryBudget.Slack = e.limits.Load().RetrySlack * fleetLimitShare / float64(max(1, e.instances()))
+	p.retryBudget.Slack = e.limits.Load().RetrySlack * share.FleetShare / float64(max(1, e.instances()))
 	return &p.retryBudget
 }
 
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -39,7 +39,9 @@
 
 	deadline clock.Millis
 	model    ticket.ModelName
-	tried    []*placement.State
+	// homes is the number of endpoints that share the prompt's last shared part.
+	homes int
+	tried []*placement.State
 	// onTrial is true if the request finds out whether a quarantined prompt part still
 	// crashes endpoints.
 	onTrial bool
@@ -126,6 +128,7 @@
 	if t.request.AnyModel && len(t.route.Models) > 0 {
 		t.model = t.route.Models[0]
 	}
+	t.homes = t.endpoints.countPart(t.service.Name, t.request.PromptParts)
 	t.endpoints.countRequest(t.service.Name, t.route.Name, placement.Tokens(t.request.PromptParts), t.request.MaxTokens)
 	for {
 		choice := t.nextEndpoint(ctx)
@@ -173,6 +176,7 @@
 		CrossZoneBytes:   len(t.request.Body),
 		Accept:           accept,
 		Tried:            t.tried,
+		Homes:            t.homes,
 		MaxUtilization:   queueLimit,
 		AllowUnconfirmed: t.retryable() && t.sends == 0,
 	}, next
--- a/policy/placement/pack.go
+++ b/policy/placement/pack.go
@@ -58,7 +58,7 @@
 	if random.Float64() >= share {
 		return nil, 0
 	}
-	if s := q.drawByRoom(ranked[:count], random); s != nil || count > fewPackedEndpoints {
+	if s := q.drawPacked(ranked[:count], random); s != nil || count > fewPackedEndpoints {
 		return s, count
 	}
 	for i, s := range ranked[count:] {
@@ -77,9 +77,9 @@
 	return max(0, (maxPackUtilization-s.Utilization(q.Now))*float64(s.Endpoint.Slots))
 }
 
-// drawByRoom returns a random endpoint, weighted by the room for packed requests, or nil if
+// drawPacked returns a random endpoint, weighted by the room for packed requests, or nil if
 // there is none.
-func (q *Query) drawByRoom(states []*State, random *rand.Rand) *State {
+func (q *Query) drawPacked(states []*State, random *rand.Rand) *State {
 	total := 0.0
 	for _, s := range states {
 		total += q.packRoom(s)
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -42,6 +42,11 @@
 	MaxUtilization float64
 	// Pack asks to pack the request; nil spreads requests.
 	Pack *Pack
+	// Arrivals is the number of requests that other instances are expected to have sent to
+	// the service's endpoints since the loads were told, or 0 if the loads are exact.
+	Arrivals float64
+	// Homes is the number of endpoints that share the prompt's last shared part; 0 means one.
+	Homes int
 	// AllowUnconfirmed allows an endpoint that was unreachable and has not responded since.
 	AllowUnconfirmed bool
 }
@@ -137,43 +142,68 @@
 )
 
 // Choose returns the endpoint with the lowest estimated delay. If the query packs
-// requests, an endpoint that is to be filled takes precedence.
+// requests, an endpoint that is to be filled takes precedence. If other instances choose by
+// the same loads, the endpoint is the best of a few that are drawn by their room, of those
+// known to have a part of the prompt cached, and of the part's home.
 func Choose(states []*State, q *Query, random *rand.Rand) Choice {
 	best := Choice{Reason: routing.ReasonNoEndpoint}
-	home := q.homeEndpoint(states)
+	options := make([]option, 0, len(states))
 	for _, s := range states {
 		if !q.Accept(s.Endpoint) {
 			continue
 		}
 		best.Considered++
-		inFlight := s.InFlight(q.Now)
 		if !s.InBackoff(q.Now) {
 			best.Slots += s.Endpoint.Slots
-			best.FreeSlots += max(0, s.Endpoint.Slots-inFlight)
+			best.FreeSlots += max(0, s.Endpoint.Slots-s.InFlight(q.Now))
 			best.Waiting += s.Waiting(q.Now)
 		}
 		if reason := q.check(s); reason != routing.Permitted {
-			if best.State == nil {
-				best.Reason = reason
-			}
+			best.Reason = reason
 			continue
 		}
-		cost := q.cost(s, s == home) + jitter*random.Float64()
-		if best.State == nil || cost < best.Cost {
-			best.State, best.Cost, best.Reason = s, cost, reasonFor(s, home, len(q.Parts))
-		}
-	}
-	if packed, filled := q.packedEndpoint(states, random); packed != nil {
-		best.State, best.Reason, best.PackedEndpoints = packed, ReasonPacked, filled
+		options = append(options, q.newOption(s))
 	}
-	if best.State == nil {
+	if len(options) == 0 {
 		best.Rejections = q.countRejections(states)
 		return best
 	}
+	if packed, filled := q.packedEndpoint(states, random); packed != nil {
+		best.State, best.Reason, best.PackedEndpoints = packed, ReasonPacked, filled
+	} else {
+		q.chooseOption(&best, states, options, random)
+	}
 	best.Endpoint = best.State.Endpoint
 	return best
 }
 
+// chooseOption sets the choice to the option with the lowest estimated delay.
+func (q *Query) chooseOption(best *Choice, states []*State, options []option, random *rand.Rand) {
+	home := q.homeEndpoint(states, random)
+	consider := func(o option, level float64) {
+		cost := max(o.cost(), level) + q.promptCost(o.state, o.state == home) + jitter*random.Float64()
+		if best.State == nil || cost < best.Cost {
+			best.State, best.Cost, best.Reason = o.state, cost, reasonFor(o.state, home, len(q.Parts))
+		}
+	}
+	if q.Arrivals <= 0 {
+		for _, o := range options {
+			consider(o, 0)
+		}
+		return
+	}
+	level := costLevel(options, q.Arrivals)
+	for range spreadDraws {
+		consider(drawByRoom(options, level, random), level)
+	}
+	shared := q.sharedParts()
+	for _, o := range options {
+		if o.state == home || len(shared) > 0 && o.state.cachedTokens(shared, q.Model, q.Now) > 0 {
+			consider(o, level)
+		}
+	}
+}
+
 // reasonFor returns the reason for choosing the endpoint s by its estimated delay.
 func reasonFor(s, home *State, parts int) routing.Reason {
 	if s == home && parts > 1 {
@@ -242,53 +272,69 @@
 	return q.Parts[:len(q.Parts)-1]
 }
 
-// homeEndpoint returns the endpoint with the highest rendezvous weight for the last
-// shared part, which all instances prefer for that part, or nil.
-func (q *Query) homeEndpoint(states []*State) *State {
+// homeEndpoint returns an endpoint that all instances prefer for the last shared part, or nil:
+// one of those with the highest rendezvous weights, as many as the part's requests need.
+func (q *Query) homeEndpoint(states []*State, random *rand.Rand) *State {
 	shared := q.sharedParts()
 	if len(shared) == 0 {
 		return nil
 	}
 	key := xxhash.Sum64String(string(shared[len(shared)-1].ID))
-	var best *State
-	var bestWeight uint64
+	type weighted struct {
+		state  *State
+		weight uint64
+	}
+	// homes is sorted by descending weight.
+	homes := make([]weighted, 0, max(1, q.Homes))
 	for _, s := range states {
 		if s.InBackoff(q.Now) || s.Cold(q.Now) || !q.Accept(s.Endpoint) || q.ZoneUnreachable != nil && q.ZoneUnreachable(s.Endpoint.Zone) {
 			continue
 		}
-		if w := routing.RendezvousWeight(key, string(s.Endpoint.ID)); best == nil || w > bestWeight {
-			best, bestWeight = s, w
+		w := routing.RendezvousWeight(key, string(s.Endpoint.ID))
+		i := len(homes)
+		for i > 0 && homes[i-1].weight < w {
+			i--
+		}
+		if i == cap(homes) {
+			continue
 		}
+		homes = slices.Insert(homes[:min(len(homes), cap(homes)-1)], i, weighted{s, w})
 	}
-	return best
+	switch len(homes) {
+	case 0:
+		return nil
+	case 1:
+		return homes[0].state
+	}
+	return homes[random.IntN(len(homes))].state
 }
 
-// cost estimates the delay of the request at the endpoint in milliseconds.
-func (q *Query) cost(s *State, home bool) float64 {
-	shared := q.sharedParts()
-	totalTokens := float64(Tokens(q.Parts))
-	cachedTokens := float64(s.cachedTokens(shared, q.Model, q.Now))
-	if home {
-		cachedTokens = max(cachedTokens, homeCachedChance*float64(Tokens(shared)))
-	}
-	utilization := s.Utilization(q.Now)
-	cost := (q.RelativeCost*(totalTokens-cachedTokens)+s.PrefillTokens)/prefillRate - cachedTokens/reprefillRate
-	cost += utilizationCost * utilization
-	if utilization > overloadUtilization {
-		cost += overloadCost * (utilization - overloadUtilization)
-	}
+// newOption returns an endpoint with the costs that are the same for all requests.
+func (q *Query) newOption(s *State) option {
+	o := option{state: s, utilization: s.Utilization(q.Now)}
 	if s.Endpoint.Zone != q.Zone {
-		cost += crossZoneCost + crossZoneCostPerKB*float64(q.CrossZoneBytes)/1024
+		o.fixedCost += crossZoneCost + crossZoneCostPerKB*float64(q.CrossZoneBytes)/1024
 	}
-	cost += failureCost * s.ExcessFailureRate
+	o.fixedCost += failureCost * s.ExcessFailureRate
 	if s.LatencyRatio.Count > 2 && s.LatencyRatio.Mean > 1 {
-		cost += latencyCost * (s.LatencyRatio.Mean - 1)
+		o.fixedCost += latencyCost * (s.LatencyRatio.Mean - 1)
 	}
 	if s.Cold(q.Now) {
-		cost += coldCost
+		o.fixedCost += coldCost
 	}
 	if s.failedContacts > 0 {
-		cost += unconfirmedCost
+		o.fixedCost += unconfirmedCost
+	}
+	return o
+}
+
+// promptCost estimates how long the endpoint takes until it has prefilled the request's
+// prompt, in milliseconds, less the value of the cached tokens.
+func (q *Query) promptCost(s *State, home bool) float64 {
+	shared := q.sharedParts()
+	cachedTokens := float64(s.cachedTokens(shared, q.Model, q.Now))
+	if home {
+		cachedTokens = max(cachedTokens, homeCachedChance*float64(Tokens(shared)))
 	}
-	return cost
+	return (q.RelativeCost*(float64(Tokens(q.Parts))-cachedTokens)+s.PrefillTokens)/prefillRate - cachedTokens/reprefillRate
 }
--- /dev/null
+++ b/policy/placement/spread.go
@@ -0,0 +1,120 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"foxtailbridge/policy/clock"
+)
+
+const (
+	// spreadDraws is the number of endpoints drawn by their room, of which the one with the
+	// least delay for the request is chosen. At most that many times an endpoint's share of
+	// the arrivals can reach it.
+	spreadDraws = 2
+	// levelSteps is the number of bisection steps to find the cost level.
+	levelSteps = 24
+)
+
+// loadCost returns the cost of a utilization in milliseconds.
+func loadCost(utilization float64) float64 {
+	return utilizationCost*utilization + overloadCost*max(0, utilization-overloadUtilization)
+}
+
+// utilizationAt is the inverse of loadCost.
+func utilizationAt(cost float64) float64 {
+	if threshold := loadCost(overloadUtilization); cost > threshold {
+		return overloadUtilization + (cost-threshold)/(utilizationCost+overloadCost)
+	}
+	return cost / utilizationCost
+}
+
+// option is an endpoint that may get a request.
+type option struct {
+	state *State
+	// fixedCost is the part of the cost that is the same for all requests and does not depend
+	// on the endpoint's load.
+	fixedCost   float64
+	utilization float64
+}
+
+// cost is the cost that is the same for all requests.
+func (o option) cost() float64 {
+	return o.fixedCost + loadCost(o.utilization)
+}
+
+// room returns the number of requests that raise the endpoint's cost to the level.
+func (o option) room(level float64) float64 {
+	if level <= o.cost() {
+		return 0
+	}
+	return (utilizationAt(level-o.fixedCost) - o.utilization) * float64(o.state.Endpoint.Slots)
+}
+
+// costLevel returns the cost to which the given number of arrivals raises the cheapest
+// options if they are spread so that all of them cost the same afterwards.
+//
+// This is how stale loads are to be read: the instances of a fleet choose by the same loads
+// until they learn of each other's choices. If each chose the cheapest endpoint, all arrivals
+// of that time would reach it. See Dahlin, "Interpreting Stale Load Information" (1999).
+func costLevel(options []option, arrivals float64) float64 {
+	low, high := math.Inf(1), 0.0
+	for _, o := range options {
+		low, high = min(low, o.cost()), max(high, o.cost())
+	}
+	total := func(level float64) (sum float64) {
+		for _, o := range options {
+			sum += o.room(level)
+		}
+		return sum
+	}
+	for step := 1.0; total(high) < arrivals; step *= 2 {
+		high += step * utilizationCost
+	}
+	for range levelSteps {
+		if middle := (low + high) / 2; total(middle) < arrivals {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return high
+}
+
+// drawByRoom returns a random option, weighted by the number of arrivals that it has room for
+// up to the cost level.
+func drawByRoom(options []option, level float64, random *rand.Rand) option {
+	total := 0.0
+	for _, o := range options {
+		total += o.room(level)
+	}
+	draw := random.Float64() * total
+	best := options[0]
+	for _, o := range options {
+		room := o.room(level)
+		if draw < room {
+			return o
+		}
+		draw -= room
+		if o.cost() < best.cost() {
+			best = o
+		}
+	}
+	return best
+}
+
+// loadDelay is the mean age of the loads of other instances: they travel from a member through
+// the readers of two zones to another member, each 300 ms apart.
+const loadDelay = 450 * clock.Millis(1)
+
+// StaleArrivals estimates how many requests the other instances have sent to the endpoints
+// since their loads were told: by Little's law, the requests in flight divided by the mean run
+// time are the rate of arrivals.
+func StaleArrivals(states []*State, meanRunTime clock.Millis, instances int, now clock.Millis) float64 {
+	inFlight := 0
+	for _, s := range states {
+		inFlight += s.InFlight(now)
+	}
+	others := 1 - 1/float64(max(1, instances))
+	return others * float64(inFlight) * float64(loadDelay) / float64(max(1, meanRunTime))
+}
--- a/policy/share/share.go
+++ b/policy/share/share.go
@@ -1,9 +1,15 @@
 package share
 
 import (
+	"math"
+
 	"foxtailbridge/policy/clock"
 )
 
+// FleetShare is the share of a fleet-wide limit that is used. The instances' windows are not
+// aligned, so their sum could otherwise exceed the limit.
+const FleetShare = 0.8
+
 // TokenBucket limits the rate of requests. It is not safe for concurrent use.
 type TokenBucket struct {
 	// InitialFill is the initial number of tokens, 0 to 1. Instances that share a
@@ -93,11 +99,25 @@
 	Slack float64
 	// WindowLength is the length of the sliding window.
 	WindowLength clock.Millis
+	// Rounding, 0 to 1, is added to a limit below one retry before it is rounded down. It
+	// differs at random between instances: otherwise such shares would add up to nothing. It
+	// must not change, or an instance that had a retry in a window would be followed by
+	// another one in the same window.
+	Rounding float64
 
 	requests SlidingWindow
 	retries  SlidingWindow
 }
 
+// allowed returns the number of retries allowed in the window that ends now.
+func (r *RetryBudget) allowed(now clock.Millis) float64 {
+	limit := r.Ratio*float64(r.requests.Sum(r.WindowLength, now)) + r.Slack
+	if limit < 1 {
+		limit += r.Rounding
+	}
+	return math.Floor(limit)
+}
+
 // AddRequest counts a request.
 func (r *RetryBudget) AddRequest(now clock.Millis) {
 	r.requests.Add(r.WindowLength, now)
@@ -115,7 +135,7 @@
 // Remaining returns the share of the limit that would be left after one more retry;
 // it may be negative.
 func (r *RetryBudget) Remaining(now clock.Millis) float64 {
-	allowed := r.Ratio*float64(r.requests.Sum(r.WindowLength, now)) + r.Slack
+	allowed := r.allowed(now)
 	if allowed <= 0 {
 		return 0
 	}
@@ -124,6 +144,5 @@
 
 // Available reports whether Take would succeed.
 func (r *RetryBudget) Available(now clock.Millis) bool {
-	allowed := r.Ratio*float64(r.requests.Sum(r.WindowLength, now)) + r.Slack
-	return float64(r.retries.Sum(r.WindowLength, now)+1) <= allowed
+	return float64(r.retries.Sum(r.WindowLength, now)+1) <= r.allowed(now)
 }
--- a/policy/share/share_test.go
+++ b/policy/share/share_test.go
@@ -90,3 +90,61 @@
 		So(r.Take(now), ShouldBeTrue)
 	})
 }
+
+// TestSharedRetryBudget checks that the retries of all instances together stay within the
+// fleet's limit, and use a third of it or more, also where an instance's share is a fraction of a
+// retry.
+func TestSharedRetryBudget(t *testing.T) {
+	const window, ratioShare = 10 * clock.Second, 0.9
+	tests := []struct {
+		name             string
+		instances        int
+		ratio, slack     float64
+		requestsInWindow int
+	}{
+		{"a share of many retries", 9, 0.5, 60, 900},
+		{"a share of few", 295, 0.5, 100, 600},
+		{"a share below one", 1000, 0.5, 100, 600},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(3, 4))
+			budgets := make([]RetryBudget, tt.instances)
+			for i := range budgets {
+				budgets[i] = RetryBudget{Ratio: ratioShare * tt.ratio, Slack: FleetShare * tt.slack / float64(tt.instances), WindowLength: window, Rounding: random.Float64()}
+			}
+			var sent []clock.Millis
+			const step = clock.Millis(10)
+			for now := clock.Millis(0); now < 4*window; now += step {
+				for range tt.requestsInWindow / int(window/step) {
+					budgets[random.IntN(tt.instances)].AddRequest(now)
+				}
+				if random.IntN(int(window/step)) < tt.requestsInWindow%int(window/step) {
+					budgets[random.IntN(tt.instances)].AddRequest(now)
+				}
+				for range 20 { // Every instance wants far more retries than it may send.
+					if budgets[random.IntN(tt.instances)].Take(now) {
+						sent = append(sent, now)
+					}
+				}
+			}
+			most := 0
+			for i, from := range sent {
+				count := 0
+				for _, at := range sent[i:] {
+					if at < from+window {
+						count++
+					}
+				}
+				most = max(most, count)
+			}
+			limit := tt.ratio*float64(tt.requestsInWindow) + tt.slack
+			if float64(most) > limit {
+				t.Errorf("%d retries in a window, limit %.0f", most, limit)
+			}
+			if float64(most) < limit/3 {
+				t.Errorf("only %d retries in a window, limit %.0f", most, limit)
+			}
+		})
+	}
+}
