Count instances by zone, and bound what is believed of a message

Cause: the number among which limits of the whole fleet are divided was the largest that any peer reported. Peers echoed it to each other, so it no longer fell when instances left, and an instance sees few of the other zones' itself, so it did not grow with them. A peer that reports a billion left no instance a share of anything.

Change: a zone's reader counts its zone; the counts travel with their age and the newest holds. A zone that is cut off counts for two more minutes.

TestInstanceCount fails on the code before; TestNonsense has the bad input.

--- /dev/null
+++ b/entry/relay/counts_test.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"foxtailbridge/entry/registry"
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/loadlist"
+	"foxtailbridge/policy/ticket"
+)
+
+// TestInstanceCount checks that every instance divides the fleet's limits by the number of
+// instances, however long the fleet has run: it sees few of the other zones' instances itself.
+// Guards against a count that no longer grew or fell once those were forgotten.
+func TestInstanceCount(t *testing.T) {
+	inVirtualTime(t, func(ctx context.Context) {
+		const zones, perZone = 3, 8
+		f := newFleet(ctx, zones, perZone)
+		check := func(when string, alive func(name string) bool, want int) {
+			t.Helper()
+			for _, r := range f.relays {
+				if n := r.InstanceCount(); alive(r.Self().Name) && n != want {
+					t.Errorf("%s: %s counts %d instances, want %d", when, r.Self().Name, n, want)
+				}
+			}
+		}
+		all := func(string) bool { return true }
+		time.Sleep(3 * time.Second)
+		check("after the start", all, zones*perZone)
+		time.Sleep(3 * time.Minute)
+		check("after minutes", all, zones*perZone)
+		for i := range 4 {
+			f.add(ctx, "z2", fmt.Sprint("more", i), []string{"z0-0", "z1-0"})
+		}
+		time.Sleep(4 * time.Second)
+		check("after more instances started", all, zones*perZone+4)
+
+		inLostZone := func(name string) bool { return strings.HasPrefix(name, "z1") }
+		f.mu.Lock()
+		f.dropped = func(from, to string) bool { return inLostZone(from) != inLostZone(to) }
+		f.mu.Unlock()
+		rest := func(name string) bool { return !inLostZone(name) }
+		time.Sleep(20 * time.Second)
+		check("a zone is cut off: its instances may still reach endpoints", rest, zones*perZone+4)
+		time.Sleep(3 * time.Minute)
+		check("the zone is gone", rest, (zones-1)*perZone+4)
+	})
+}
+
+// TestNonsense checks that contents of a message that make no sense are bounded, logged and
+// change nothing else.
+func TestNonsense(t *testing.T) {
+	var members []MemberEntry
+	for i := range 10_000 {
+		members = append(members, MemberEntry{Member: Member{Name: fmt.Sprint("m", i), Zone: "z", Address: "m"}, Age: -clock.Minute})
+	}
+	rows := []struct {
+		name    string
+		message Message
+		// most is the largest number of instances that may be counted afterwards.
+		most   int
+		logged bool
+	}{
+		{"no count", Message{ZoneCounts: map[ticket.ZoneName]ZoneCount{"z": {Count: 0}}}, 2, true},
+		{"a negative count", Message{ZoneCounts: map[ticket.ZoneName]ZoneCount{"z": {Count: -5}}}, 2, true},
+		{"a billion instances", Message{ZoneCounts: map[ticket.ZoneName]ZoneCount{"z": {Count: 1_000_000_000}}}, 2, true},
+		{"a count from the future", Message{ZoneCounts: map[ticket.ZoneName]ZoneCount{"z": {Count: 7, Age: -clock.Hour}}}, 2, true},
+		{"loads that cannot be right", Message{LoadsScope: ScopeOthers, LoadsVersion: 1, Loads: loadlist.Counts{"e": -7, "f": 1 << 60, "none": 3}}, 2, false},
+		{"10,000 members", Message{Members: members}, maxPeers + 1, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			var log bytes.Buffer
+			c := clock.New()
+			r := New(Member{Name: "a", Zone: "z", Address: "a", RunID: "1"}, nil, Dependencies{
+				Registry: registry.New(c, hclog.NewNullLogger()), Client: http.DefaultClient, Clock: c, Random: rand.New(rand.NewPCG(1, 2)),
+				Logger: hclog.New(&hclog.LoggerOptions{Output: &log}), Scope: tally.NoopScope,
+			})
+			var loads loadlist.Counts
+			r.OnRemoteLoads = func(others loadlist.Counts) { loads = others }
+			row.message.From = Member{Name: "b", Zone: "z", Address: "b", RunID: "1"}
+			row.message.Stops = append(row.message.Stops, 9)
+			r.merge(&row.message, c.Mono())
+			if n := r.InstanceCount(); n < 2 || n > row.most {
+				t.Errorf("%d instances counted, want 2 to %d", n, row.most)
+			}
+			for endpoint, n := range loads {
+				if n < 0 || n > 1000 {
+					t.Errorf("%d requests at %s", n, endpoint)
+				}
+			}
+			if !r.ReleaseStopped(9) {
+				t.Error("the rest of the message was lost")
+			}
+			if got := strings.Contains(log.String(), "message-nonsense"); got != row.logged {
+				t.Errorf("logged: %v, want %v\n%s", got, row.logged, log.String())
+			}
+		})
+	}
+}
--- a/entry/relay/loads.go
+++ b/entry/relay/loads.go
@@ -40,7 +40,8 @@
 	case m.LoadsScope == "":
 		return false
 	case m.LoadsBase == 0:
-		l.Counts = m.Loads.Clone()
+		l.Counts = loadlist.Counts{}
+		l.Apply(m.Loads)
 	case m.LoadsBase == l.Version && m.LoadsScope == l.scope:
 		l.Apply(m.Loads)
 	default:
--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -30,8 +30,6 @@
 	lastSeen clock.Millis
 	// heads holds the feed heads that the peer last reported.
 	heads map[registry.Feed]registry.Offset
-	// instanceCount is the number of instances known to the peer.
-	instanceCount int
 	// receivedLoads is the load list received from the peer, sentLoads the one that it
 	// has if all messages sent to it arrived.
 	receivedLoads loadList
@@ -65,12 +63,19 @@
 	mu    sync.Mutex
 	self  Member
 	peers map[string]*peer
+	// counts holds the number of instances of each zone as its reader last counted them.
+	counts map[ticket.ZoneName]zoneCount
+	// tooMany is true if a peer was ignored since the last message because maxPeers are known.
+	tooMany bool
 }
 
 func newMembers(self Member) *members {
-	return &members{self: self, peers: map[string]*peer{}}
+	return &members{self: self, peers: map[string]*peer{}, counts: map[ticket.ZoneName]zoneCount{}}
 }
 
+// maxPeers bounds the number of known peers: some times the instances of the largest fleet.
+const maxPeers = 4096
+
 // observe records when a member was last seen and returns its peer, or nil for this instance.
 // A new run of a known member replaces its state. The caller holds the lock.
 func (m *members) observe(entry MemberEntry, now clock.Millis) *peer {
@@ -79,11 +84,15 @@
 	}
 	p := m.peers[entry.Name]
 	if p == nil {
-		p = &peer{member: entry.Member, lastSeen: now - entry.Age}
+		if len(m.peers) >= maxPeers {
+			m.tooMany = true
+			return nil
+		}
+		p = &peer{member: entry.Member, lastSeen: now - max(0, entry.Age)}
 		m.peers[entry.Name] = p
 		return p
 	}
-	if at := now - entry.Age; at > p.lastSeen {
+	if at := now - max(0, entry.Age); at > p.lastSeen {
 		p.lastSeen = at
 		if p.member.RunID != entry.RunID {
 			*p = peer{member: entry.Member, lastSeen: at}
@@ -201,24 +210,6 @@
 	return rank
 }
 
-// instanceCount returns the number of instances among which the fleet's limits are divided. It
-// also removes members that were not seen for forgetTimeout.
-func (m *members) instanceCount(now clock.Millis) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	n, reported := 1, 0
-	for name, p := range m.peers {
-		switch {
-		case now-p.lastSeen < instanceCountTimeout:
-			n++
-			reported = max(reported, p.instanceCount)
-		case now-p.lastSeen > forgetTimeout:
-			delete(m.peers, name)
-		}
-	}
-	return max(n, reported)
-}
-
 // zones returns the zones of the live peers other than this instance's.
 func (m *members) zones(now clock.Millis) []ticket.ZoneName {
 	var list []ticket.ZoneName
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -56,8 +56,8 @@
 	WantsMembers bool `json:"asks,omitempty"`
 	// ResponseLost is true if the receiver's last response did not arrive.
 	ResponseLost bool `json:"missed,omitempty"`
-	// InstanceCount is the number of instances known to the sender.
-	InstanceCount int `json:"count,omitempty"`
+	// ZoneCounts holds the number of instances by zone.
+	ZoneCounts map[ticket.ZoneName]ZoneCount `json:"counts,omitempty"`
 	// Heads holds the sender's head of each feed, see registry.Registry.Heads.
 	Heads   map[registry.Feed]registry.Offset `json:"heads,omitempty"`
 	Batches []registry.Batch                  `json:"batches,omitempty"`
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -22,6 +22,7 @@
 	"foxtailbridge/policy/loadlist"
 	"foxtailbridge/policy/quarantine"
 	"foxtailbridge/policy/rollout"
+	"foxtailbridge/policy/ticket"
 )
 
 // procedure is the path of the exchange between instances.
@@ -47,6 +48,8 @@
 	memberLogPeriod = 2 * clock.Second
 	// memberLogChange is the relative change of that number from which it is logged.
 	memberLogChange = 0.3
+	// nonsenseLogPeriod is the minimum time between two log lines on contents that are ignored.
+	nonsenseLogPeriod = 10 * clock.Second
 	// maxMessageBytes bounds the size of a message. A configuration four times as large as
 	// the store's largest record and some thousand endpoints of 300 bytes each, all in
 	// base64, take half of it.
@@ -105,6 +108,8 @@
 	// that. Only the goroutine of Run accesses them.
 	loggedMembers int
 	loggedAt      clock.Millis
+	// nonsenseAt is when nonsense in a message was last logged.
+	nonsenseAt clock.Millis
 }
 
 // New returns a Relay for the instance self. It finds its first peers at the seed addresses.
@@ -146,7 +151,7 @@
 
 // newMessage builds the next message for a peer and marks its contents as sent.
 func (r *Relay) newMessage(to string, now clock.Millis, withMembers bool) *Message {
-	m := &Message{Heads: r.deps.Registry.Heads(), InstanceCount: r.members.instanceCount(now)}
+	m := &Message{Heads: r.deps.Registry.Heads()}
 	local := r.LocalLoads() // The callback may call methods of this Relay, so no lock is held.
 	r.members.mu.Lock()
 	m.From = r.members.self
@@ -169,6 +174,7 @@
 		m.Members = r.members.list(zone, now)
 	}
 	reader := r.members.ranked(m.From.Zone, now)[0].Name == m.From.Name
+	m.ZoneCounts = r.members.zoneCounts(reader, now)
 	r.addLoads(m, p, local, reader, now)
 	r.members.mu.Unlock()
 	m.PromptParts = r.parts.Reports(now)
@@ -189,12 +195,14 @@
 		}
 	}
 	p := r.members.observe(MemberEntry{Member: m.From}, now)
+	ignored := r.members.mergeZoneCounts(m.ZoneCounts, now)
+	tooMany := r.members.tooMany
+	r.members.tooMany = false
 	if p != nil {
 		p.heads = maps.Clone(m.Heads)
 		if p.heads == nil {
 			p.heads = map[registry.Feed]registry.Offset{}
 		}
-		p.instanceCount = m.InstanceCount
 		p.receiveOrderStarts(m.OrderStarts, now)
 		if p.receiveLoads(m, now) {
 			others = r.otherLoads(p, now)
@@ -208,6 +216,7 @@
 		r.OnRemoteLoads(others) // The callback takes a lock under which this Relay is also called, so no lock is held.
 	}
 	r.mu.Lock()
+	r.logNonsense(m.From.Name, ignored, tooMany, now)
 	if !r.connected {
 		r.connected = true
 		r.logger.Info("first-peer", "peer", m.From.Name, "zone", m.From.Zone, "members", len(m.Members), "leaving", m.Leaving)
@@ -246,6 +255,15 @@
 	}
 }
 
+// logNonsense logs contents of a peer's message that were ignored. The caller holds the lock.
+func (r *Relay) logNonsense(peer string, zones []ticket.ZoneName, tooMany bool, now clock.Millis) {
+	if len(zones) == 0 && !tooMany || r.nonsenseAt > 0 && now-r.nonsenseAt < nonsenseLogPeriod {
+		return
+	}
+	r.nonsenseAt = now
+	r.logger.Warn("message-nonsense", "peer", peer, "zones", len(zones), "too-many-members", tooMany, "limit", maxPeers)
+}
+
 // exchange sends a peer the changes since the last exchange, merges its response and reports
 // whether it succeeded.
 func (r *Relay) exchange(ctx context.Context, address, name string, wantsMembers bool) bool {
--- a/policy/loadlist/loadlist.go
+++ b/policy/loadlist/loadlist.go
@@ -67,13 +67,17 @@
 	return changed
 }
 
-// Apply applies changes to the list.
+// maxCount bounds the number of requests that is believed of an endpoint: a larger one would
+// hide the endpoint from all instances, or overflow a sum.
+const maxCount = 100_000
+
+// Apply applies changes to the list. A number that cannot be right counts as none.
 func (l *List) Apply(changed Counts) {
 	if l.Counts == nil {
 		l.Counts = Counts{}
 	}
 	for id, n := range changed {
-		if n == 0 {
+		if n <= 0 || n > maxCount {
 			delete(l.Counts, id)
 		} else {
 			l.Counts[id] = n
