Send nothing to endpoints that leave or want no requests

Cause: an endpoint's word in its responses, that it is leaving or wants nothing for some seconds, was not read. With the listing away a leaving endpoint got requests until it ended, and a full one got more of them.

Change: both are taken from the head of every response, also a refusal, a failure, a stream and one to an earlier request, and hold for that run of the endpoint. They are checked when an endpoint is chosen and right before a request is sent. Leaving is passed on to all instances. If all endpoints are held off, the caller is refused at once and told when the first one wants requests. Session holds and leaving endpoints share one list of news for peers.

--- a/entry/forward/endpoints.go
+++ b/entry/forward/endpoints.go
@@ -95,6 +95,10 @@
 	sizes map[catalog.RouteName]*routeSize
 	// zones holds the reachability of each zone.
 	zones map[ticket.ZoneName]*zoneStatus
+	// leaving holds when each run of an endpoint was last said to be leaving, and heldOff the
+	// endpoints that want no requests for some time.
+	leaving map[endpointKey]clock.Millis
+	heldOff []*placement.State
 	// parts counts the requests by shared part.
 	parts placement.PartRates
 }
@@ -133,6 +137,7 @@
 		routeFailures: map[catalog.RouteName]*placement.MovingAverage{},
 		sizes:         map[catalog.RouteName]*routeSize{},
 		zones:         map[ticket.ZoneName]*zoneStatus{},
+		leaving:       map[endpointKey]clock.Millis{},
 	}
 }
 
@@ -151,6 +156,9 @@
 			s := e.byKey[key]
 			if s == nil {
 				s = placement.NewState(endpoint, now, e.random.Float64())
+				if _, leaving := e.leaving[key]; leaving {
+					s.MarkLeaving()
+				}
 			}
 			if endpoint.ColdFor > 0 && (s.Endpoint != endpoint || s.ColdUntil == 0) {
 				s.ColdUntil = max(s.ColdUntil, now+endpoint.ColdFor)
@@ -167,6 +175,7 @@
 		}
 	}
 	e.byKey = byKey
+	e.pruneLeaving(now)
 }
 
 func (e *endpointTracker) pool(name ticket.ServiceName) *pool {
@@ -251,6 +260,7 @@
 func (e *endpointTracker) prepareQuery(view *registry.State, service *catalog.Service, q *placement.Query) *pool {
 	q.Now = e.clock.Mono()
 	e.syncView(view, q.Now)
+	e.endHolds(q.Now)
 	instances := max(1, e.instances())
 	q.ColdRate = share.FleetShare * service.ColdRate / float64(instances)
 	q.ZoneUnreachable = func(zone ticket.ZoneName) bool {
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -74,6 +74,7 @@
 	f.endpoints.instances = deps.Relay.InstanceCount
 	deps.Relay.LocalLoads = f.endpoints.localInFlight
 	deps.Relay.OnRemoteLoads = f.endpoints.setRemoteInFlight
+	deps.Relay.OnLeaving = f.endpoints.markLeaving
 	return f
 }
 
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -76,6 +76,8 @@
 	// KindRefused is like KindNotSent, but the endpoint's host responded: the endpoint
 	// accepts no new connections and may still finish its in-flight requests.
 	KindRefused Kind = "refused"
+	// KindWithdrawn is like KindNotSent, but the endpoint wants no requests any more.
+	KindWithdrawn Kind = "withdrawn"
 	// KindBroken means that the connection ended early or carried no valid response.
 	KindBroken Kind = "broken"
 	// KindOverrun means that a stream held more than was requested. Its content is
@@ -112,12 +114,27 @@
 	// WeightsVersion is the version of the model weights that must resume the stream,
 	// or "".
 	WeightsVersion string
+	// StillWanted is called right before the request is sent; if it returns false, the request
+	// is not sent and the error is KindWithdrawn. It may be nil.
+	StillWanted func() bool
+	// Notify receives what the endpoint says about itself, in the goroutine of Send, before
+	// the response is returned. It may be nil.
+	Notify func(Notice)
 	// Stream is true if the response is read event by event.
 	Stream bool
 	// EventTimeout bounds the wait for each event.
 	EventTimeout clock.Millis
 }
 
+// Notice is what an endpoint says about itself in the head of a response, whatever became of
+// the request.
+type Notice struct {
+	// Leaving is true if the endpoint will end soon and wants no more requests.
+	Leaving bool
+	// HoldOff is how long the endpoint wants no requests from this instance, or 0.
+	HoldOff clock.Millis
+}
+
 // Event is one complete event of a stream.
 type Event struct {
 	ID  EventID
@@ -135,8 +152,6 @@
 	Confidence        cascade.Confidence
 	// Load is the load that the endpoint reported, or nil.
 	Load *placement.Load
-	// Draining is true if the endpoint closes the connection after this response.
-	Draining bool
 	// WeightsVersion is the version of the model weights that produced the response, or
 	// "".
 	WeightsVersion string
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -222,6 +222,7 @@
 		candidates = append(candidates, candidate{ArmOld, t.releases.oldReleaseFilter(t.view, t.progress), nil})
 	}
 	var refusal placement.Choice
+	keptAway := false
 	for _, allowUnconfirmed := range []bool{false, true} {
 		if q.AllowUnconfirmed && !allowUnconfirmed {
 			continue // A first pass without unconfirmed endpoints would gain nothing.
@@ -235,6 +236,10 @@
 				q.RelativeCost = t.service.Engine.RelativeCost(q.Model)
 			}
 			choice := t.endpoints.choose(t.view, t.service, q)
+			if choice.KeptAway > 0 && !keptAway {
+				keptAway = true
+				t.deps.Scope.Counter("kept_away").Inc(1)
+			}
 			if choice.State != nil {
 				t.arm = c.arm
 				t.model = q.Model
@@ -336,6 +341,11 @@
 
 // estimateRetryAfter estimates when an endpoint will have room.
 func (t *task) estimateRetryAfter(choice placement.Choice) clock.Millis {
+	if choice.Slots == 0 && choice.HeldOffUntil > 0 {
+		// Callers come back within a third of the time that they have left, if at all.
+		now := t.clock.Mono()
+		return max(minRetryAfter, min(choice.HeldOffUntil-now, (t.deadline-now)/3))
+	}
 	if choice.Slots == 0 {
 		return clock.Second
 	}
@@ -410,6 +420,11 @@
 		outcome.Sent = attempt.SentNothing
 		outcome.Result = attempt.ResultBroken
 		t.endpoints.markUnreachable(r.state, kind)
+	case KindWithdrawn:
+		t.sends--
+		t.unsent++
+		outcome.Sent = attempt.SentNothing
+		outcome.Result = attempt.ResultBroken
 	case KindTimeout:
 		t.countRun()
 		outcome.Result = attempt.ResultTimeout
--- a/entry/forward/timeouts.go
+++ b/entry/forward/timeouts.go
@@ -20,6 +20,8 @@
 		a.HeadTimeout = min(remaining, t.headTimeout())
 	}
 	r.headTimeout = a.HeadTimeout
+	a.StillWanted = func() bool { return t.stillWanted(r) }
+	a.Notify = func(notice Notice) { t.notify(r.state, notice) }
 	a.KeepWaiting = func() bool { return r.keepWaiting(ctx) }
 	return a
 }
--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -38,8 +38,10 @@
 	ackedLoads loadlist.Version
 	// suspicionsSent is the number of entries of Relay.suspicions sent to the peer.
 	suspicionsSent int
-	// holdsSent is the number of entries of Relay.holdList sent to the peer.
-	holdsSent int
+	// holdsSent and leavingSent are the numbers of entries of Relay.holds and
+	// Relay.leavingEndpoints sent to the peer.
+	holdsSent   int
+	leavingSent int
 	// orderStarts holds the order starts that the peer knows, by the orders' keys.
 	orderStarts map[string]peerOrderStart
 	// retryAt is when exchanges with the peer are tried again after a failure.
@@ -53,7 +55,7 @@
 // resendAll makes the next message repeat everything that is otherwise sent only once,
 // because the peer may not have received the last message.
 func (p *peer) resendAll() {
-	p.suspicionsSent, p.holdsSent = 0, 0
+	p.suspicionsSent, p.holdsSent, p.leavingSent = 0, 0, 0
 	clear(p.orderStarts)
 }
 
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -78,6 +78,8 @@
 	Suspicions []quarantine.Suspicion `json:"suspicions,omitempty"`
 	// PromptParts holds what the sender knows of parts that may crash endpoints.
 	PromptParts []quarantine.PartReport `json:"prompt-parts,omitempty"`
+	// LeavingEndpoints holds endpoints that said that they are leaving.
+	LeavingEndpoints []LeavingEndpoint `json:"leaving-endpoints,omitempty"`
 	// Holds holds the sessions that must stay on the old release of an order.
 	Holds []SessionHold         `json:"holds,omitempty"`
 	Stops []catalog.OrderNumber `json:"stops,omitempty"`
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -73,6 +73,8 @@
 	LocalLoads func() loadlist.Counts
 	// OnRemoteLoads is called with the in-flight requests of all other instances by endpoint.
 	OnRemoteLoads func(others loadlist.Counts)
+	// OnLeaving is called with an endpoint that a peer heard is leaving, and the source.
+	OnLeaving func(e LeavingEndpoint, source string)
 
 	deps    Dependencies
 	logger  hclog.Logger
@@ -93,12 +95,14 @@
 	stops map[catalog.OrderNumber]bool
 	// lightLoads holds the plans for orders of services under light load.
 	lightLoads map[catalog.OrderNumber]*rollout.LightLoad
-	// holdList holds the elements of holdSet in the order in which they were added.
-	holdList []SessionHold
-	holdSet  map[SessionHold]bool
-	round    int
-	leaving  bool
-	clients  map[string]*connect.Client[Message, Message]
+	holds      newsList[SessionHold]
+	// leavingEndpoints holds the endpoints that said that they are leaving, leavingSince when
+	// this instance heard of each.
+	leavingEndpoints newsList[LeavingEndpoint]
+	leavingSince     map[LeavingEndpoint]clock.Millis
+	round            int
+	leaving          bool
+	clients          map[string]*connect.Client[Message, Message]
 	// lostResponses holds the addresses whose last response did not arrive.
 	lostResponses      map[string]bool
 	connected          bool
@@ -127,7 +131,10 @@
 		parts:              quarantine.NewPartLedger(),
 		stops:              map[catalog.OrderNumber]bool{},
 		lightLoads:         map[catalog.OrderNumber]*rollout.LightLoad{},
-		holdSet:            map[SessionHold]bool{},
+		holds:              newNewsList[SessionHold](maxSessionHolds),
+		leavingEndpoints:   newNewsList[LeavingEndpoint](maxLeavingEndpoints),
+		leavingSince:       map[LeavingEndpoint]clock.Millis{},
+		OnLeaving:          func(LeavingEndpoint, string) {},
 		clients:            map[string]*connect.Client[Message, Message]{},
 		lostResponses:      map[string]bool{},
 		broadcastRequested: make(chan struct{}, 1),
@@ -163,8 +170,8 @@
 		zone = p.member.Zone
 		m.Suspicions = r.suspicions[p.suspicionsSent:]
 		p.suspicionsSent = len(r.suspicions)
-		m.Holds = r.holdList[p.holdsSent:]
-		p.holdsSent = len(r.holdList)
+		m.Holds = r.holds.unsent(&p.holdsSent)
+		m.LeavingEndpoints = r.leavingEndpoints.unsent(&p.leavingSent)
 		if p.heads != nil {
 			m.Batches = r.deps.Registry.Since(p.heads)
 			m.OrderStarts = p.unsentOrderStarts(r.deps.Registry.OrderStarts(), now)
@@ -237,7 +244,13 @@
 		r.mergePart(report, "peer "+m.From.Name, now)
 	}
 	for _, hold := range m.Holds {
-		r.addHold(hold)
+		r.holds.add(hold)
+	}
+	var leaving []LeavingEndpoint
+	for _, e := range m.LeavingEndpoints {
+		if r.addLeaving(e, now) {
+			leaving = append(leaving, e)
+		}
 	}
 	for _, number := range m.Stops {
 		r.stopRelease(number, "peer "+m.From.Name)
@@ -246,6 +259,9 @@
 		r.mergeLightLoad(number, plan, "peer "+m.From.Name)
 	}
 	r.mu.Unlock()
+	for _, e := range leaving {
+		r.OnLeaving(e, "peer "+m.From.Name)
+	}
 	for _, b := range m.Batches {
 		b.Source = "peer " + m.From.Name
 		r.deps.Registry.Merge(b)
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -219,7 +219,7 @@
 		}
 		time.Sleep(2 * time.Second)
 		for _, r := range f.relays {
-			if len(r.holdList)+len(r.holdSet) > 0 {
+			if len(r.holds.entries)+len(r.holds.known) > 0 {
 				t.Error("holds remain after the order was forgotten")
 			}
 		}
@@ -441,6 +441,7 @@
 
 func TestSuspicions(t *testing.T) {
 	inVirtualTime(t, func(ctx context.Context) {
+		var heard [9]atomic.Int64
 		f := newFleet(ctx, 3, 3)
 		time.Sleep(4 * time.Second)
 		for i := range 3 {
@@ -452,10 +453,17 @@
 		}
 		f.relays[7].ClearParts([]quarantine.Part{"system"}) // It may not have heard of the part yet.
 		f.relays[4].StopRelease(9, "evidence")
+		for i, r := range f.relays {
+			r.OnLeaving = func(LeavingEndpoint, string) { heard[i].Add(1) }
+		}
+		f.relays[5].ReportLeaving(LeavingEndpoint{ID: "e", StartedAt: 7})
 		f.relays[0].PlanLightLoad(9, &rollout.LightLoad{By: "b"})
 		f.relays[8].PlanLightLoad(9, &rollout.LightLoad{By: "a"})
 		time.Sleep(1500 * time.Millisecond)
-		for _, r := range f.relays {
+		for i, r := range f.relays {
+			if n := heard[i].Load(); n != 1 && i != 5 {
+				t.Errorf("%s heard %d times that an endpoint is leaving", r.Self().Name, n)
+			}
 			if !r.PartQuarantined("deadly") || r.PartQuarantined("system") {
 				t.Errorf("%s: deadly %v, system %v", r.Self().Name, r.PartQuarantined("deadly"), r.PartQuarantined("system"))
 			}
--- a/entry/relay/session_holds.go
+++ b/entry/relay/session_holds.go
@@ -18,23 +18,14 @@
 func (r *Relay) HoldSession(h SessionHold) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.addHold(h)
+	r.holds.add(h)
 }
 
 // SessionHeld reports whether any instance holds the session on the old release.
 func (r *Relay) SessionHeld(h SessionHold) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.holdSet[h]
-}
-
-// addHold adds a hold unless it is known or the list is full. The caller holds the lock.
-func (r *Relay) addHold(h SessionHold) {
-	if r.holdSet[h] || len(r.holdList) >= maxSessionHolds {
-		return
-	}
-	r.holdSet[h] = true
-	r.holdList = append(r.holdList, h)
+	return r.holds.known[h]
 }
 
 // forgetOrderHolds removes the holds of an order that has ended.
@@ -43,22 +34,10 @@
 	defer r.members.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var kept []SessionHold // A new slice, because in-flight messages share the old one's backing array.
-	for _, h := range r.holdList {
-		if h.Order != number {
-			kept = append(kept, h)
-		}
-	}
-	if len(kept) == len(r.holdList) {
+	if !r.holds.retain(func(h SessionHold) bool { return h.Order != number }) {
 		return
 	}
-	r.holdList = kept
-	for h := range r.holdSet {
-		if h.Order == number {
-			delete(r.holdSet, h)
-		}
-	}
 	for _, p := range r.members.peers {
-		p.holdsSent = 0 // Indexes in the list have changed. Sending a hold twice is harmless.
+		p.holdsSent = 0
 	}
 }
--- a/policy/placement/pack.go
+++ b/policy/placement/pack.go
@@ -101,7 +101,7 @@
 	weights := map[*State]uint64{}
 	for _, s := range states {
 		load += s.InFlight(q.Now)
-		if !q.Accept(s.Endpoint) || s.Cold(q.Now) || s.InBackoff(q.Now) {
+		if !q.Accept(s.Endpoint) || s.Cold(q.Now) || s.absent(q.Now) {
 			continue
 		}
 		slots += s.Endpoint.Slots
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -70,6 +70,10 @@
 	// PackedEndpoints is the number of endpoints that packed requests fill, or 0 if the
 	// request is not packed.
 	PackedEndpoints int
+	// KeptAway counts accepted endpoints that want no requests, and HeldOffUntil is when the
+	// first of them wants some again, or 0.
+	KeptAway     int
+	HeldOffUntil clock.Millis
 	// Rejections counts endpoints by rejection reason; it is set only if State is nil.
 	Rejections Rejections
 }
@@ -153,7 +157,15 @@
 			continue
 		}
 		best.Considered++
-		if !s.InBackoff(q.Now) {
+		switch {
+		case s.leaving:
+			best.KeptAway++
+		case s.HeldOff(q.Now):
+			best.KeptAway++
+			if best.HeldOffUntil == 0 || s.heldOffUntil < best.HeldOffUntil {
+				best.HeldOffUntil = s.heldOffUntil
+			}
+		case !s.InBackoff(q.Now):
 			best.Slots += s.Endpoint.Slots
 			best.FreeSlots += max(0, s.Endpoint.Slots-s.InFlight(q.Now))
 			best.Waiting += s.Waiting(q.Now)
@@ -215,6 +227,8 @@
 const (
 	// ReasonLeastDelay means that the endpoint has the lowest estimated delay.
 	ReasonLeastDelay routing.Reason = "least-delay"
+	// ReasonHeldOff means that the endpoint wants no requests for some time.
+	ReasonHeldOff routing.Reason = "endpoint-held-off"
 	// ReasonPacked means that the request was packed onto an endpoint that is filled first.
 	ReasonPacked routing.Reason = "packed"
 )
@@ -227,6 +241,10 @@
 		}
 	}
 	switch {
+	case s.leaving:
+		return routing.ReasonDraining
+	case s.HeldOff(q.Now):
+		return ReasonHeldOff
 	case s.InBackoff(q.Now), q.ZoneUnreachable != nil && q.ZoneUnreachable(s.Endpoint.Zone):
 		return routing.ReasonDown
 	case s.failedContacts > 0 && !q.AllowUnconfirmed:
@@ -287,7 +305,7 @@
 	// homes is sorted by descending weight.
 	homes := make([]weighted, 0, max(1, q.Homes))
 	for _, s := range states {
-		if s.InBackoff(q.Now) || s.Cold(q.Now) || !q.Accept(s.Endpoint) || q.ZoneUnreachable != nil && q.ZoneUnreachable(s.Endpoint.Zone) {
+		if s.absent(q.Now) || s.Cold(q.Now) || !q.Accept(s.Endpoint) || q.ZoneUnreachable != nil && q.ZoneUnreachable(s.Endpoint.Zone) {
 			continue
 		}
 		w := routing.RendezvousWeight(key, string(s.Endpoint.ID))
--- a/policy/placement/state.go
+++ b/policy/placement/state.go
@@ -74,6 +74,8 @@
 	peerLoad            int
 	peerLoadAt          clock.Millis
 	ownInFlightAtReport int
+	leaving             bool
+	heldOffUntil        clock.Millis
 	backoffUntil        clock.Millis
 	failedContacts      int
 	failurePenalty      float64
@@ -136,6 +138,37 @@
 	return now < s.backoffUntil
 }
 
+// MarkLeaving records that the endpoint will end soon and wants no more requests. It reports
+// whether that is new. A new run of the endpoint has a new State.
+func (s *State) MarkLeaving() bool {
+	wasLeaving := s.leaving
+	s.leaving = true
+	return !wasLeaving
+}
+
+// HoldOff records that the endpoint wants no requests until then. It reports whether the
+// endpoint was not held off before.
+func (s *State) HoldOff(until, now clock.Millis) bool {
+	wasHeldOff := s.HeldOff(now)
+	s.heldOffUntil = max(s.heldOffUntil, until)
+	return !wasHeldOff
+}
+
+// HeldOff reports whether the endpoint wants no requests now.
+func (s *State) HeldOff(now clock.Millis) bool {
+	return now < s.heldOffUntil
+}
+
+// WantsRequests reports whether the endpoint has not said that it wants none.
+func (s *State) WantsRequests(now clock.Millis) bool {
+	return !s.leaving && !s.HeldOff(now)
+}
+
+// absent reports whether the endpoint may get no request at all now.
+func (s *State) absent(now clock.Millis) bool {
+	return !s.WantsRequests(now) || s.InBackoff(now)
+}
+
 // MarkUnreachable records that the endpoint was unreachable or timed out, and
 // starts or extends its backoff.
 func (s *State) MarkUnreachable(now clock.Millis) {
