Compare ways to choose endpoints in the fleet experiment

loadtest experiment fleet prints the baselines least cost, two random choices and subsets of endpoints beside the product's choice, for 18 and 295 instances.

--- a/loadtest/commands.go
+++ b/loadtest/commands.go
@@ -119,7 +119,7 @@
 func (*experimentCommand) Name() string     { return "experiment" }
 func (*experimentCommand) Synopsis() string { return "compare the routing policies with baselines" }
 func (*experimentCommand) Usage() string {
-	return "experiment [-seed N] cascade|roll-out|choice|overload:\n  Run an experiment in virtual time and print a row for each policy.\n"
+	return "experiment [-seed N] cascade|roll-out|choice|overload|fleet:\n  Run an experiment in virtual time and print a row for each policy.\n"
 }
 func (c *experimentCommand) SetFlags(f *flag.FlagSet) {
 	f.Uint64Var(&c.seed, "seed", 1, "the `seed` of the load")
@@ -131,6 +131,7 @@
 		"roll-out": experiment.PrintRollouts,
 		"choice":   experiment.PrintBalancing,
 		"overload": experiment.PrintOverload,
+		"fleet":    experiment.PrintFleet,
 	}
 	run := experiments[f.Arg(0)]
 	if run == nil {
--- a/loadtest/experiment/fleet.go
+++ b/loadtest/experiment/fleet.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -27,6 +28,10 @@
 	FleetSpread FleetPolicy = "spread"
 	// FleetLeastCost takes the loads as they are, as the product did.
 	FleetLeastCost FleetPolicy = "least-cost"
+	// FleetTwoChoices takes the better of two random endpoints.
+	FleetTwoChoices FleetPolicy = "two-choices"
+	// FleetSubset takes the best of fleetSubset endpoints, which differ between instances.
+	FleetSubset FleetPolicy = "subset"
 )
 
 // FleetScenario selects what happens while a fleet serves requests.
@@ -179,6 +184,8 @@
 	fleetPackShare = 0.5
 	fleetHotShare  = 0.25
 	fleetNew       = catalog.Release("v2")
+	// fleetSubset is the number of endpoints of an instance under FleetSubset.
+	fleetSubset = 12
 	// fleetMaxTries is how many endpoints may refuse a request.
 	fleetMaxTries = 5
 )
@@ -353,7 +360,7 @@
 	if r.newArm {
 		q.Pack = &placement.Pack{Key: string(fleetNew), LoadShare: fleetPackShare}
 	}
-	choice := placement.Choose(r.instance.states, q, f.random)
+	choice := placement.Choose(f.candidates(r, q), q, f.random)
 	if choice.State == nil || !q.Acquire(choice.State) {
 		f.result.NoRoom++
 		return
@@ -362,6 +369,28 @@
 	f.arrive(f.endpoints[f.byID[choice.Endpoint.ID]], r)
 }
 
+// candidates returns the endpoints among which the policy lets an instance choose.
+func (f *fleet) candidates(r *fleetRequest, q *placement.Query) []*placement.State {
+	count := 2
+	switch f.load.Policy {
+	case FleetSubset:
+		count = fleetSubset
+	case FleetTwoChoices:
+	default:
+		return r.instance.states
+	}
+	accepted := slices.DeleteFunc(slices.Clone(r.instance.states), func(s *placement.State) bool { return !q.Accept(s.Endpoint) })
+	if f.load.Policy == FleetTwoChoices {
+		f.random.Shuffle(len(accepted), func(i, j int) { accepted[i], accepted[j] = accepted[j], accepted[i] })
+		return accepted[:min(count, len(accepted))]
+	}
+	key := uint64(slices.Index(f.instances, r.instance))
+	slices.SortFunc(accepted, func(a, b *placement.State) int {
+		return cmp.Compare(routing.RendezvousWeight(key, string(a.Endpoint.ID)), routing.RendezvousWeight(key, string(b.Endpoint.ID)))
+	})
+	return accepted[:min(count, len(accepted))]
+}
+
 // arrive takes a request at an endpoint.
 func (f *fleet) arrive(e *fleetEndpoint, r *fleetRequest) {
 	f.result.Arrivals++
--- a/loadtest/experiment/print.go
+++ b/loadtest/experiment/print.go
@@ -52,3 +52,23 @@
 		}
 	}
 }
+
+// PrintFleet prints how a small and a large fleet spread the same load an endpoint.
+func PrintFleet(seed uint64) {
+	printRow := func(load FleetLoad) {
+		load.Seed = seed
+		fmt.Println(RunFleet(load))
+	}
+	for _, scenario := range []FleetScenario{FleetSteady, FleetPacked, FleetJoin, FleetCold, FleetHotPart} {
+		for _, policy := range []FleetPolicy{FleetLeastCost, FleetTwoChoices, FleetSubset, FleetSpread} {
+			for _, instances := range []int{18, 295} {
+				printRow(LargeFleet(instances, scenario, policy))
+			}
+		}
+	}
+	for _, policy := range []FleetPolicy{FleetLeastCost, FleetTwoChoices, FleetSpread} {
+		for _, instances := range []int{18, 295} {
+			printRow(PlainFleet(instances, policy))
+		}
+	}
+}
