--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -158,6 +158,7 @@
 
 // Merge merges a batch and reports whether the view changed.
 func (r *Registry) Merge(b Batch) bool {
+	b.Age = max(0, b.Age) // Otherwise the view would look confirmed for some time to come.
 	r.mu.Lock()
 	changed := r.merge(&b)
 	if changed {
--- a/entry/relay/counts_test.go
+++ b/entry/relay/counts_test.go
@@ -14,8 +14,10 @@
 	"github.com/uber-go/tally/v4"
 
 	"foxtailbridge/entry/registry"
+	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/loadlist"
+	"foxtailbridge/policy/rollout"
 	"foxtailbridge/policy/ticket"
 )
 
@@ -76,6 +78,7 @@
 		{"a billion instances", Message{ZoneCounts: map[ticket.ZoneName]ZoneCount{"z": {Count: 1_000_000_000}}}, 2, true},
 		{"a count from the future", Message{ZoneCounts: map[ticket.ZoneName]ZoneCount{"z": {Count: 7, Age: -clock.Hour}}}, 2, true},
 		{"loads that cannot be right", Message{LoadsScope: ScopeOthers, LoadsVersion: 1, Loads: loadlist.Counts{"e": -7, "f": 1 << 60, "none": 3}}, 2, false},
+		{"plans for light load that make no sense", Message{LightLoads: map[catalog.OrderNumber]*rollout.LightLoad{9: nil, 8: {Start: -3, By: "b"}, 7: {Routes: []catalog.RouteName{"r"}, Start: -3}}}, 2, false},
 		{"10,000 members", Message{Members: members}, maxPeers + 1, true},
 	}
 	for _, row := range rows {
@@ -99,6 +102,11 @@
 					t.Errorf("%d requests at %s", n, endpoint)
 				}
 			}
+			for number := range row.message.LightLoads {
+				if plan := r.LightLoad(number); plan != nil {
+					t.Errorf("plan %+v", plan)
+				}
+			}
 			if !r.ReleaseStopped(9) {
 				t.Error("the rest of the message was lost")
 			}
--- a/entry/relay/light_loads.go
+++ b/entry/relay/light_loads.go
@@ -21,7 +21,7 @@
 
 // mergeLightLoad adopts a plan that holds against the known one. The caller holds the lock.
 func (r *Relay) mergeLightLoad(number catalog.OrderNumber, plan *rollout.LightLoad, source string) {
-	if plan == nil || !plan.Precedes(r.lightLoads[number]) {
+	if plan == nil || !plan.Valid() || !plan.Precedes(r.lightLoads[number]) {
 		return
 	}
 	r.lightLoads[number] = plan
--- a/entry/relay/prompt_parts.go
+++ b/entry/relay/prompt_parts.go
@@ -1,7 +1,7 @@
 package relay
 
 import (
-	"github.com/cespare/xxhash/v2"
+	"math/rand/v2"
 
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/quarantine"
@@ -62,13 +62,10 @@
 }
 
 // TakePartTrial reports whether one request with a quarantined prompt part may be sent from
-// this instance. Only one instance tries each part.
+// this instance.
 func (r *Relay) TakePartTrial(part quarantine.Part) bool {
-	now := r.deps.Clock.Mono()
-	if r.members.dutyRank(xxhash.Sum64String(string(part)), now) != 0 {
-		return false
-	}
+	now, instances := r.deps.Clock.Mono(), r.InstanceCount()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.parts.TakeTrial(part, now)
+	return r.parts.TakeTrial(part, instances, rand.Float64(), now)
 }
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -457,8 +457,8 @@
 			r.OnLeaving = func(LeavingEndpoint, string) { heard[i].Add(1) }
 		}
 		f.relays[5].ReportLeaving(LeavingEndpoint{ID: "e", StartedAt: 7})
-		f.relays[0].PlanLightLoad(9, &rollout.LightLoad{By: "b"})
-		f.relays[8].PlanLightLoad(9, &rollout.LightLoad{By: "a"})
+		f.relays[0].PlanLightLoad(9, &rollout.LightLoad{Routes: []catalog.RouteName{"r"}, Start: 0.6, By: "b"})
+		f.relays[8].PlanLightLoad(9, &rollout.LightLoad{Routes: []catalog.RouteName{"r"}, Start: 0.6, By: "a"})
 		time.Sleep(1500 * time.Millisecond)
 		for i, r := range f.relays {
 			if n := heard[i].Load(); n != 1 && i != 5 {
--- a/policy/quarantine/parts.go
+++ b/policy/quarantine/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"foxtailbridge/policy/clock"
@@ -37,8 +38,14 @@
 	// maxCompleted bounds the parts whose completed responses are remembered.
 	maxCompleted = 2048
 	// trialDelay is how long after its last crash one request with a quarantined part is
-	// tried. It doubles with each further trial.
+	// tried. It doubles with each further crash.
 	trialDelay = 30 * clock.Second
+	// trialDoubling is the time in which the chance of a trial doubles once it is due: longer
+	// than it takes until all instances know what became of the last one.
+	trialDoubling = 2 * clock.Second
+	// trialRequests is how many requests with the part an instance may get in the time that
+	// the result of a trial takes without several of them becoming trials at first.
+	trialRequests = 8
 )
 
 // PartLedger finds prompt parts that crash endpoints. Merging is commutative and
@@ -54,7 +61,6 @@
 	cleared   bool
 	lastCrash clock.Millis
 	changedAt clock.Millis
-	trials    int
 	trialAt   clock.Millis
 }
 
@@ -62,6 +68,11 @@
 	return !r.cleared && len(r.crashes) >= partCrashLimit
 }
 
+// trialDelay returns how long after the last crash the next trial is due.
+func (r *partRecord) trialDelay() clock.Millis {
+	return trialDelay << min(max(0, len(r.crashes)-partCrashLimit), 5)
+}
+
 // NewPartLedger returns an empty PartLedger.
 func NewPartLedger() *PartLedger {
 	return &PartLedger{parts: map[Part]*partRecord{}, completed: map[Part]clock.Millis{}}
@@ -89,7 +100,7 @@
 			changed = true
 		}
 		r.lastCrash = max(r.lastCrash, crashedAt)
-		r.trialAt = max(r.trialAt, r.lastCrash+trialDelay<<min(r.trials, 5))
+		r.trialAt = max(r.trialAt, r.lastCrash+r.trialDelay())
 	}
 	at, completed := l.completed[report.Part]
 	if (report.Cleared || completed && now-at <= partTTL) && !r.cleared {
@@ -153,14 +164,19 @@
 }
 
 // TakeTrial reports whether one request with a quarantined part may be sent, to find out
-// whether it still crashes endpoints.
-func (l *PartLedger) TakeTrial(part Part, now clock.Millis) bool {
+// whether it still crashes endpoints. draw is a random number from 0 to 1. All instances may
+// try, with a chance that starts at a part of their share of one and grows: the part's requests may be so
+// rare that a chosen instance would wait for one for minutes, or so many that all would try.
+func (l *PartLedger) TakeTrial(part Part, instances int, draw float64, now clock.Millis) bool {
 	r := l.parts[part]
 	if r == nil || now < r.trialAt {
 		return false
 	}
-	r.trials++
-	r.trialAt = now + trialDelay<<min(r.trials, 5)
+	chance := math.Exp2(float64(now-r.trialAt)/float64(trialDoubling)) / float64(trialRequests*max(1, instances))
+	if draw >= chance {
+		return false
+	}
+	r.trialAt = now + r.trialDelay()
 	return true
 }
 
--- a/policy/quarantine/parts_test.go
+++ b/policy/quarantine/parts_test.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"foxtailbridge/policy/clock"
@@ -73,7 +75,7 @@
 	l.Merge(PartReport{Part: "p", Crashes: crashes(3)}, 0)
 	trials := 0
 	for now := clock.Millis(0); now < 60*clock.Second; now += clock.Second {
-		if l.TakeTrial("p", now) {
+		if l.TakeTrial("p", 1, 0.5, now) {
 			trials++
 		}
 	}
@@ -85,6 +87,48 @@
 	}
 }
 
+// TestPartTrialsOfAFleet checks that a few instances try a part soon after that is due, however
+// many there are and however rare its requests. Each trial crashes an endpoint, and a part that
+// is not tried stays blocked.
+func TestPartTrialsOfAFleet(t *testing.T) {
+	const newsDelay = clock.Second
+	tests := []struct {
+		instances int
+		perSecond float64
+	}{{7, 0.2}, {7, 20}, {295, 0.2}, {295, 2}, {295, 50}, {1000, 0.2}, {1000, 200}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d instances, %g requests a second", tt.instances, tt.perSecond), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(5, 6))
+			const seeds = 40
+			trials, waited := 0, clock.Millis(0)
+			for range seeds {
+				ledgers := make([]*PartLedger, tt.instances)
+				for i := range ledgers {
+					ledgers[i] = NewPartLedger()
+					ledgers[i].Merge(PartReport{Part: "p", Crashes: crashes(3)}, 0)
+				}
+				first := clock.Millis(0)
+				for now := trialDelay; first == 0 || now < first+newsDelay; now += 10 {
+					arrivals := int(tt.perSecond/100 + random.Float64())
+					for range arrivals {
+						if ledgers[random.IntN(tt.instances)].TakeTrial("p", tt.instances, random.Float64(), now) {
+							trials++
+							first = cmp.Or(first, now)
+						}
+					}
+				}
+				waited += first - trialDelay
+			}
+			if mean := float64(trials) / seeds; mean > 2 {
+				t.Errorf("%.1f trials before the result of the first is known", mean)
+			}
+			if mean := waited / seeds; mean > trialDelay {
+				t.Errorf("the first trial waits %d ms on average", mean)
+			}
+		})
+	}
+}
+
 // Guards against a part that is no longer quarantined once its record is full or old.
 func TestPartIsQuarantinedAgain(t *testing.T) {
 	l := NewPartLedger()
@@ -93,7 +137,7 @@
 	if !l.Quarantined("p", partTTL+clock.Second) {
 		t.Error("a crash after the record was full is ignored")
 	}
-	if l.TakeTrial("p", partTTL+clock.Second) {
+	if l.TakeTrial("p", 1, 0.5, partTTL+clock.Second) {
 		t.Error("tried a second after a crash")
 	}
 	later := 3 * partTTL
--- a/policy/rollout/light_load.go
+++ b/policy/rollout/light_load.go
@@ -22,6 +22,11 @@
 	By string `json:"by"`
 }
 
+// Valid reports whether the plan is one that PlanLightLoad may return.
+func (l *LightLoad) Valid() bool {
+	return len(l.Routes) > 0 && l.Start >= earliestLightStart && l.Start <= fullStart
+}
+
 // Precedes reports whether the plan holds against another one.
 func (l *LightLoad) Precedes(other *LightLoad) bool {
 	return other == nil || l.By < other.By
