--- a/loadtest/experiment/fleet_test.go
+++ b/loadtest/experiment/fleet_test.go
@@ -1,10 +1,6 @@
 package experiment
 
-import (
-	"testing"
-
-	"foxtailbridge/policy/clock"
-)
+import "testing"
 
 const (
 	// smallFleet and largeFleet are the numbers of instances that are compared, at the same
