--- a/loadtest/experiment/fleet_test.go
+++ b/loadtest/experiment/fleet_test.go
@@ -1,6 +1,11 @@
 package experiment
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+
+	"foxtailbridge/policy/clock"
+)
 
 const (
 	// smallFleet and largeFleet are the numbers of instances that are compared, at the same
@@ -9,6 +14,8 @@
 	largeFleet = 295
 	// targetFleet is the number of instances that the users expect in two years.
 	targetFleet = 410
+	// sweepFleet is the largest number of instances of the users' sweep.
+	sweepFleet = 1000
 	// maxRefusedShare bounds the arrivals that endpoints refuse while half of their slots are
 	// free: 2 in 100, the target on the deployment's calm day.
 	maxRefusedShare = 0.02
@@ -29,6 +36,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.pattern, func(t *testing.T) {
+			t.Parallel()
 			for _, instances := range []int{smallFleet, largeFleet} {
 				r := RunFleet(LargeFleet(instances, tt.scenario, FleetSpread))
 				if r.RefusedShare() > maxRefusedShare {
@@ -38,6 +46,7 @@
 		})
 	}
 	t.Run("without counting the requests since, the large fleet herds and the small one does not", func(t *testing.T) {
+		t.Parallel()
 		if r := RunFleet(LargeFleet(smallFleet, FleetSteady, FleetLeastCost)); r.RefusedShare() > maxRefusedShare {
 			t.Errorf("%v", r)
 		}
@@ -75,15 +84,21 @@
 // requests in any second, where an instance's share of it is a fraction of a request, and that
 // the shares together let requests through.
 func TestFleetColdRate(t *testing.T) {
-	for _, instances := range []int{smallFleet, largeFleet, targetFleet} {
-		load := LargeFleet(instances, FleetCold, FleetSpread)
-		load.Utilization = 0.7
-		r := RunFleet(load)
-		if float64(r.ColdPeak) > 1.5*load.ColdRate+5 {
-			t.Errorf("too many: %v", r)
-		}
-		if r.ColdServed == 0 {
-			t.Errorf("none let through: %v", r)
-		}
+	for _, instances := range []int{smallFleet, largeFleet, targetFleet, sweepFleet} {
+		t.Run(fmt.Sprintf("%d instances", instances), func(t *testing.T) {
+			t.Parallel()
+			load := LargeFleet(instances, FleetCold, FleetSpread)
+			load.Utilization = 0.7
+			if instances == sweepFleet {
+				load.Duration = 3 * clock.Second // A run takes a few seconds.
+			}
+			r := RunFleet(load)
+			if float64(r.ColdPeak) > 1.5*load.ColdRate+5 {
+				t.Errorf("too many: %v", r)
+			}
+			if r.ColdServed == 0 {
+				t.Errorf("none let through: %v", r)
+			}
+		})
 	}
 }
