Play endpoints that turn slow in the fleet experiment

Cause: an instance of 295 meets one endpoint once a minute, so its own averages say nothing of an endpoint that turned slow; whether the fleet's counts of requests in flight are enough was not shown. Ruled out: passing slowness on between instances. Runs five times longer fill a slow endpoint, and all others are preferred before requests wait there.

--- a/loadtest/experiment/fleet.go
+++ b/loadtest/experiment/fleet.go
@@ -50,6 +50,9 @@
 	FleetCold FleetScenario = "cold"
 	// FleetHotPart gives a quarter of the requests the same prompt part from the middle on.
 	FleetHotPart FleetScenario = "hot-part"
+	// FleetSlow slows down one endpoint in fleetSlowEvery from the middle on. An instance meets
+	// it too seldom to know from its own requests.
+	FleetSlow FleetScenario = "slow"
 )
 
 // FleetLoad configures instances, endpoints and load of a fleet experiment.
@@ -111,13 +114,17 @@
 	// ColdPeak is the largest number of requests that reached a cold endpoint in a second,
 	// ColdServed the number that reached all of them.
 	ColdPeak, ColdServed int
+	// SlowRuns counts the runs at endpoints that were slowed down, SlowWait is the longest time
+	// that a request waited for one.
+	SlowRuns int
+	SlowWait clock.Millis
 }
 
 // String formats the result as one line.
 func (r FleetResult) String() string {
-	return fmt.Sprintf("%4d instances %3d endpoints %-9s %-10s arrivals=%d refused=%.4f no-room=%d wait p50=%d p99=%d cached=%.2f packed-peak=%.1f cold-peak=%d cold-served=%d",
+	return fmt.Sprintf("%4d instances %3d endpoints %-9s %-10s arrivals=%d refused=%.4f no-room=%d wait p50=%d p99=%d cached=%.2f packed-peak=%.1f cold-peak=%d cold-served=%d slow-runs=%d slow-wait=%d",
 		r.Load.Instances, r.Load.Endpoints, r.Load.Scenario, r.Load.Policy, r.Arrivals, r.RefusedShare(), r.NoRoom,
-		r.Wait.ValueAtQuantile(50), r.Wait.ValueAtQuantile(99), float64(r.Cached)/float64(max(1, r.Arrivals)), r.PackedPeak, r.ColdPeak, r.ColdServed)
+		r.Wait.ValueAtQuantile(50), r.Wait.ValueAtQuantile(99), float64(r.Cached)/float64(max(1, r.Arrivals)), r.PackedPeak, r.ColdPeak, r.ColdServed, r.SlowRuns, int64(r.SlowWait))
 }
 
 // RefusedShare returns the share of arrivals that endpoints refused.
@@ -141,6 +148,7 @@
 type fleetEndpoint struct {
 	info      *catalog.Endpoint
 	coldUntil clock.Millis
+	slow      bool
 	running   int
 	waiting   []*fleetRequest
 	cached    map[placement.PartID]bool
@@ -188,6 +196,9 @@
 	fleetNew       = catalog.Release("v2")
 	// fleetSubset is the number of endpoints of an instance under FleetSubset.
 	fleetSubset = 12
+	// fleetSlowdown is how many times longer runs take at an endpoint that was slowed down.
+	fleetSlowdown  = 5
+	fleetSlowEvery = 50
 	// fleetMaxTries is how many endpoints may refuse a request.
 	fleetMaxTries = 5
 )
@@ -250,6 +261,8 @@
 		f.schedule(middle, func() { f.addEndpoints(load.Endpoints/4, "v1", 0) })
 	case FleetCold:
 		f.schedule(middle, func() { f.addEndpoints(load.Endpoints/4, "v1", middle+3*clock.Second) })
+	case FleetSlow:
+		f.schedule(middle, f.slowDown)
 	}
 	for f.events.Len() > 0 {
 		e := heap.Pop(&f.events).(farmEvent)
@@ -260,6 +273,15 @@
 	return f.result
 }
 
+// slowDown slows down a few endpoints.
+func (f *fleet) slowDown() {
+	for i, e := range f.endpoints {
+		if i%fleetSlowEvery == 0 {
+			e.slow = true
+		}
+	}
+}
+
 // scheduleArrivals schedules all requests as a Poisson process.
 func (f *fleet) scheduleArrivals() {
 	rate := f.load.Utilization * float64(f.load.Endpoints*f.load.Slots) / float64(f.load.MeanRun)
@@ -436,6 +458,11 @@
 		r.state.RecordCached([]placement.Part{{ID: r.part, Tokens: f.load.PartTokens}}, "m", f.now)
 	}
 	took := clock.Millis(f.random.ExpFloat64() * float64(f.load.MeanRun))
+	if e.slow {
+		took *= fleetSlowdown
+		f.result.SlowRuns++
+		f.result.SlowWait = max(f.result.SlowWait, f.now-r.arrived)
+	}
 	failed := f.random.Float64() < f.load.FailureShare
 	if failed {
 		took = 0
--- a/loadtest/experiment/fleet_test.go
+++ b/loadtest/experiment/fleet_test.go
@@ -19,6 +19,8 @@
 	// maxRefusedShare bounds the arrivals that endpoints refuse while half of their slots are
 	// free: 2 in 100, the target on the deployment's calm day.
 	maxRefusedShare = 0.02
+	// firstTokenGoal is the users' goal for the first token of their largest requests.
+	firstTokenGoal = 2 * clock.Second
 )
 
 // TestFleetHerds plays the patterns in which many instances that know each other's requests
@@ -80,6 +82,33 @@
 	}
 }
 
+// TestFleetSlowEndpoint plays endpoints that turn slow, of which an instance sees a request a
+// minute: no request may wait there longer than its first token may take while half of all slots
+// are free. What tells the instances are the requests in flight, which the fleet counts together.
+func TestFleetSlowEndpoint(t *testing.T) {
+	slow := func(instances int, policy FleetPolicy, seed uint64) FleetResult {
+		load := LargeFleet(instances, FleetSlow, policy)
+		load.Seed = seed
+		return RunFleet(load)
+	}
+	for _, instances := range []int{smallFleet, largeFleet} {
+		t.Run(fmt.Sprintf("%d instances", instances), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(4) {
+				if r := slow(instances, FleetSpread, seed); r.SlowRuns == 0 || r.SlowWait > firstTokenGoal {
+					t.Errorf("%v", r)
+				}
+			}
+		})
+	}
+	t.Run("without counting the requests since, requests wait", func(t *testing.T) {
+		t.Parallel()
+		if r := slow(largeFleet, FleetLeastCost, 2); r.SlowWait <= firstTokenGoal {
+			t.Errorf("the baseline does not wait: %v", r)
+		}
+	})
+}
+
 // TestFleetColdRate checks the users' limit for cold endpoints, 1.5 times the rate plus 5
 // requests in any second, where an instance's share of it is a fraction of a request, and that
 // the shares together let requests through.
--- a/loadtest/experiment/print.go
+++ b/loadtest/experiment/print.go
@@ -59,7 +59,7 @@
 		load.Seed = seed
 		fmt.Println(RunFleet(load))
 	}
-	for _, scenario := range []FleetScenario{FleetSteady, FleetPacked, FleetJoin, FleetCold, FleetHotPart} {
+	for _, scenario := range []FleetScenario{FleetSteady, FleetPacked, FleetJoin, FleetCold, FleetHotPart, FleetSlow} {
 		for _, policy := range []FleetPolicy{FleetLeastCost, FleetTwoChoices, FleetSubset, FleetSpread} {
 			for _, instances := range []int{18, 295} {
 				printRow(LargeFleet(instances, scenario, policy))
