--- a/loadtest/experiment/fleet.go
+++ b/loadtest/experiment/fleet.go
@@ -82,11 +82,15 @@
 // LargeFleet returns a fleet of the given size with the load of Kylmäkiertö's largest
 // deployment on each engine: 295 instances before 204 engines of 12 slots.
 func LargeFleet(instances int, scenario FleetScenario, policy FleetPolicy) FleetLoad {
-	return FleetLoad{
+	load := FleetLoad{
 		Seed: 1, Instances: instances, Zones: 6, Endpoints: max(6, instances*204/295), Slots: 12, Queue: 25,
 		Utilization: 0.45, MeanRun: 1200, Duration: 6 * clock.Second, Scenario: scenario, Policy: policy,
 		PartTokens: 2000, Parts: max(80, instances*2750/295), ColdRate: 11,
 	}
+	if scenario == FleetCold {
+		load.Utilization = 0.7 // Cold endpoints are chosen when the others are busy.
+	}
+	return load
 }
 
 // PlainFleet returns the same for the plain service: six endpoints of six slots, whatever the
--- a/loadtest/experiment/fleet_test.go
+++ b/loadtest/experiment/fleet_test.go
@@ -117,7 +117,6 @@
 		t.Run(fmt.Sprintf("%d instances", instances), func(t *testing.T) {
 			t.Parallel()
 			load := LargeFleet(instances, FleetCold, FleetSpread)
-			load.Utilization = 0.7
 			if instances == sweepFleet {
 				load.Duration = 3 * clock.Second // A run takes a few seconds.
 			}
