Bound what one endpoint's load says of all endpoints' arrivals

Cause: the arrivals since the loads were told are estimated from all requests in flight, so one endpoint that tells a billion running requests made all endpoints look equally full and the room of each count for nothing. Ruled out: listings without slots (refused when parsed), an overflow of the sum (counts as none). Found by reading the diff.

--- a/policy/placement/spread.go
+++ b/policy/placement/spread.go
@@ -107,13 +107,17 @@
 // the readers of two zones to another member, each 300 ms apart.
 const loadDelay = 450 * clock.Millis(1)
 
+// maxBelievedFullness bounds what is believed of one endpoint's requests in flight. Endpoints that
+// are that full get none, and a single one that tells nonsense would hide the room at all others.
+const maxBelievedFullness = 3
+
 // StaleArrivals estimates how many requests the other instances have sent to the endpoints
 // since their loads were told: by Little's law, the requests in flight divided by the mean run
 // time are the rate of arrivals.
 func StaleArrivals(states []*State, meanRunTime clock.Millis, instances int, now clock.Millis) float64 {
 	inFlight := 0
 	for _, s := range states {
-		inFlight += s.InFlight(now)
+		inFlight += min(s.InFlight(now), maxBelievedFullness*max(1, s.Endpoint.Slots))
 	}
 	others := 1 - 1/float64(max(1, instances))
 	return others * float64(inFlight) * float64(loadDelay) / float64(max(1, meanRunTime))
