--- a/entry/relay/counts_test.go
+++ b/entry/relay/counts_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -59,6 +60,14 @@
 	})
 }
 
+// newLoneRelay returns a relay that knows no peers.
+func newLoneRelay(c *clock.Clock, log io.Writer) *Relay {
+	return New(Member{Name: "a", Zone: "z", Address: "a", RunID: "1"}, nil, Dependencies{
+		Registry: registry.New(c, hclog.NewNullLogger()), Client: http.DefaultClient, Clock: c, Random: rand.New(rand.NewPCG(1, 2)),
+		Logger: hclog.New(&hclog.LoggerOptions{Output: log}), Scope: tally.NoopScope,
+	})
+}
+
 // TestNonsense checks that contents of a message that make no sense are bounded, logged and
 // change nothing else.
 func TestNonsense(t *testing.T) {
@@ -85,10 +94,7 @@
 		t.Run(row.name, func(t *testing.T) {
 			var log bytes.Buffer
 			c := clock.New()
-			r := New(Member{Name: "a", Zone: "z", Address: "a", RunID: "1"}, nil, Dependencies{
-				Registry: registry.New(c, hclog.NewNullLogger()), Client: http.DefaultClient, Clock: c, Random: rand.New(rand.NewPCG(1, 2)),
-				Logger: hclog.New(&hclog.LoggerOptions{Output: &log}), Scope: tally.NoopScope,
-			})
+			r := newLoneRelay(c, &log)
 			var loads loadlist.Loads
 			r.OnRemoteLoads = func(others loadlist.Loads) { loads = others }
 			row.message.From = Member{Name: "b", Zone: "z", Address: "b", RunID: "1"}
