Keep when news became known in the list itself; one test relay

Cause: Relay.leavingSince held a second map beside the list's own set of known entries, filled and emptied in step with it, and two tests built the relay that newRelay of endless_test.go builds. Result: no behaviour changed; go test -race ./entry/relay ./entry/forward pass.

--- a/entry/relay/counts_test.go
+++ b/entry/relay/counts_test.go
@@ -4,17 +4,12 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
-	"math/rand/v2"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/uber-go/tally/v4"
 
-	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/loadlist"
@@ -60,14 +55,6 @@
 	})
 }
 
-// newLoneRelay returns a relay that knows no peers.
-func newLoneRelay(c *clock.Clock, log io.Writer) *Relay {
-	return New(Member{Name: "a", Zone: "z", Address: "a", RunID: "1"}, nil, Dependencies{
-		Registry: registry.New(c, hclog.NewNullLogger()), Client: http.DefaultClient, Clock: c, Random: rand.New(rand.NewPCG(1, 2)),
-		Logger: hclog.New(&hclog.LoggerOptions{Output: log}), Scope: tally.NoopScope,
-	})
-}
-
 // TestNonsense checks that contents of a message that make no sense are bounded, logged and
 // change nothing else.
 func TestNonsense(t *testing.T) {
@@ -93,13 +80,13 @@
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			var log bytes.Buffer
-			c := clock.New()
-			r := newLoneRelay(c, &log)
+			r := newRelay(nil)
+			r.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
 			var loads loadlist.Loads
 			r.OnRemoteLoads = func(others loadlist.Loads) { loads = others }
 			row.message.From = Member{Name: "b", Zone: "z", Address: "b", RunID: "1"}
 			row.message.Stops = append(row.message.Stops, 9)
-			r.merge(&row.message, c.Mono())
+			r.merge(&row.message, r.deps.Clock.Mono())
 			if n := r.InstanceCount(); n < 2 || n > row.most {
 				t.Errorf("%d instances counted, want 2 to %d", n, row.most)
 			}
--- a/entry/relay/leaving.go
+++ b/entry/relay/leaving.go
@@ -28,31 +28,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forgetLeaving(now)
-	r.addLeaving(e, now)
-}
-
-// addLeaving adds an endpoint and reports whether it was not known. The caller holds the lock.
-func (r *Relay) addLeaving(e LeavingEndpoint, now clock.Millis) bool {
-	if !r.leavingEndpoints.add(e) {
-		return false
-	}
-	r.leavingSince[e] = now
-	return true
+	r.leavingEndpoints.add(e, now)
 }
 
 // forgetLeaving forgets the endpoints that are no longer remembered. The caller holds both
 // locks.
 func (r *Relay) forgetLeaving(now clock.Millis) {
-	changed := r.leavingEndpoints.retain(func(e LeavingEndpoint) bool {
-		if now-r.leavingSince[e] < leavingMemory {
-			return true
-		}
-		delete(r.leavingSince, e)
-		return false
-	})
+	if !r.leavingEndpoints.retain(func(_ LeavingEndpoint, since clock.Millis) bool { return now-since < leavingMemory }) {
+		return
+	}
 	for _, p := range r.members.peers {
-		if changed {
-			p.leavingSent = 0
-		}
+		p.leavingSent = 0
 	}
 }
--- a/entry/relay/light_loads_test.go
+++ b/entry/relay/light_loads_test.go
@@ -1,11 +1,9 @@
 package relay
 
 import (
-	"io"
 	"testing"
 
 	"foxtailbridge/policy/catalog"
-	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/rollout"
 )
 
@@ -15,7 +13,7 @@
 	plan := func() *rollout.LightLoad {
 		return &rollout.LightLoad{Routes: []catalog.RouteName{"r"}, Start: 0.6, By: "b"}
 	}
-	r := newLoneRelay(clock.New(), io.Discard)
+	r := newRelay(nil)
 	const orders = 1000
 	for i := range orders / 2 {
 		r.PlanLightLoad(catalog.OrderNumber(i+1), plan())
--- a/entry/relay/malformed_test.go
+++ b/entry/relay/malformed_test.go
@@ -5,18 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"testing"
 
-	"github.com/hashicorp/go-hclog"
-	"github.com/uber-go/tally/v4"
-
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/catalog"
-	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/loadlist"
 	"foxtailbridge/policy/quarantine"
 	"foxtailbridge/policy/rollout"
@@ -27,12 +22,8 @@
 // another kind or size. None may end the process, which merges responses outside the HTTP
 // server's protection, or keep the instance from serving the next message.
 func TestMalformedMessages(t *testing.T) {
-	c := clock.New()
-	view := registry.New(c, hclog.NewNullLogger())
-	view.Decode = func(*registry.Record) (registry.Object, error) { return registry.Object{}, nil }
-	r := New(Member{Name: "a", Zone: "z", Address: "a", RunID: "1"}, nil, Dependencies{
-		Registry: view, Client: http.DefaultClient, Clock: c, Random: rand.New(rand.NewPCG(1, 2)), Logger: hclog.NewNullLogger(), Scope: tally.NoopScope,
-	})
+	r := newRelay(nil)
+	r.deps.Registry.Decode = func(*registry.Record) (registry.Object, error) { return registry.Object{}, nil }
 	sample := Message{
 		From: Member{Name: "b", Zone: "z", Address: "b", RunID: "1", Capacity: 800}, Members: []MemberEntry{{Member: Member{Name: "c", Zone: "y"}, Age: 3}},
 		WantsMembers: true, ZoneCounts: map[ticket.ZoneName]ZoneCount{"z": {Count: 2, Age: 5}}, Heads: map[registry.Feed]registry.Offset{registry.FeedOrders: 3},
--- a/entry/relay/news.go
+++ b/entry/relay/news.go
@@ -1,24 +1,33 @@
 package relay
 
+import "foxtailbridge/policy/clock"
+
 // newsList is a list of what peers must be told once, in the order in which it became known.
 // How much of it a peer was told is an index into the list.
 type newsList[T comparable] struct {
 	entries []T
-	known   map[T]bool
+	// knownSince holds when each entry became known.
+	knownSince map[T]clock.Millis
 	// limit bounds the number of entries.
 	limit int
 }
 
 func newNewsList[T comparable](limit int) newsList[T] {
-	return newsList[T]{known: map[T]bool{}, limit: limit}
+	return newsList[T]{knownSince: map[T]clock.Millis{}, limit: limit}
+}
+
+// knows reports whether the list holds an entry.
+func (l *newsList[T]) knows(entry T) bool {
+	_, ok := l.knownSince[entry]
+	return ok
 }
 
 // add adds an entry unless it is known or the list is full, and reports whether it was added.
-func (l *newsList[T]) add(entry T) bool {
-	if l.known[entry] || len(l.entries) >= l.limit {
+func (l *newsList[T]) add(entry T, now clock.Millis) bool {
+	if l.knows(entry) || len(l.entries) >= l.limit {
 		return false
 	}
-	l.known[entry] = true
+	l.knownSince[entry] = now
 	l.entries = append(l.entries, entry)
 	return true
 }
@@ -32,13 +41,13 @@
 
 // retain removes all other entries and reports whether there were any. The peers' indexes are
 // then wrong and must be set to 0; telling an entry twice is harmless.
-func (l *newsList[T]) retain(keep func(T) bool) bool {
+func (l *newsList[T]) retain(keep func(entry T, since clock.Millis) bool) bool {
 	var kept []T // A new slice, because in-flight messages share the old one's backing array.
 	for _, entry := range l.entries {
-		if keep(entry) {
+		if keep(entry, l.knownSince[entry]) {
 			kept = append(kept, entry)
 		} else {
-			delete(l.known, entry)
+			delete(l.knownSince, entry)
 		}
 	}
 	changed := len(kept) != len(l.entries)
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -96,10 +96,8 @@
 	// lightLoads holds the plans for orders of services under light load.
 	lightLoads map[catalog.OrderNumber]*rollout.LightLoad
 	holds      newsList[SessionHold]
-	// leavingEndpoints holds the endpoints that said that they are leaving, leavingSince when
-	// this instance heard of each.
+	// leavingEndpoints holds the endpoints that said that they are leaving.
 	leavingEndpoints newsList[LeavingEndpoint]
-	leavingSince     map[LeavingEndpoint]clock.Millis
 	round            int
 	leaving          bool
 	clients          map[string]*connect.Client[Message, Message]
@@ -133,7 +131,6 @@
 		lightLoads:         map[catalog.OrderNumber]*rollout.LightLoad{},
 		holds:              newNewsList[SessionHold](maxSessionHolds),
 		leavingEndpoints:   newNewsList[LeavingEndpoint](maxLeavingEndpoints),
-		leavingSince:       map[LeavingEndpoint]clock.Millis{},
 		OnLeaving:          func(LeavingEndpoint, string) {},
 		clients:            map[string]*connect.Client[Message, Message]{},
 		lostResponses:      map[string]bool{},
@@ -244,11 +241,11 @@
 		r.mergePart(report, "peer "+m.From.Name, now)
 	}
 	for _, hold := range m.Holds {
-		r.holds.add(hold)
+		r.holds.add(hold, now)
 	}
 	var leaving []LeavingEndpoint
 	for _, e := range m.LeavingEndpoints {
-		if r.addLeaving(e, now) {
+		if r.leavingEndpoints.add(e, now) {
 			leaving = append(leaving, e)
 		}
 	}
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -219,7 +219,7 @@
 		}
 		time.Sleep(2 * time.Second)
 		for _, r := range f.relays {
-			if len(r.holds.entries)+len(r.holds.known) > 0 {
+			if len(r.holds.entries)+len(r.holds.knownSince) > 0 {
 				t.Error("holds remain after the order was forgotten")
 			}
 		}
