Draw endpoints by their room in one place, and work the rooms out once

Cause: drawByRoom and drawPacked were the same weighted draw, and each worked out every room twice, drawByRoom for each of its draws; PartRates found the last shared part beside sharedParts.

--- a/policy/placement/pack.go
+++ b/policy/placement/pack.go
@@ -80,15 +80,12 @@
 // drawPacked returns a random endpoint, weighted by the room for packed requests, or nil if
 // there is none.
 func (q *Query) drawPacked(states []*State, random *rand.Rand) *State {
-	total := 0.0
-	for _, s := range states {
-		total += q.packRoom(s)
+	rooms := make([]float64, len(states))
+	for i, s := range states {
+		rooms[i] = q.packRoom(s)
 	}
-	draw := random.Float64() * total
-	for _, s := range states {
-		if draw -= q.packRoom(s); draw < 0 {
-			return s
-		}
+	if i := drawIndex(rooms, random); i >= 0 {
+		return states[i]
 	}
 	return nil
 }
--- a/policy/placement/part_rates.go
+++ b/policy/placement/part_rates.go
@@ -28,14 +28,15 @@
 // is enough for most parts. The requests with a hot part that all instances send to one
 // endpoint before they learn of each other's would fill it.
 func (r *PartRates) Homes(parts []Part, slots, instances int, now clock.Millis) int {
-	if len(parts) < 2 {
+	shared := sharedParts(parts)
+	if len(shared) == 0 {
 		return 1
 	}
 	if r.windows == nil {
 		r.windows = map[PartID]*share.SlidingWindow{}
 	}
 	r.sweep(now)
-	id := parts[len(parts)-2].ID
+	id := shared[len(shared)-1].ID
 	w := r.windows[id]
 	if w == nil {
 		if len(r.windows) >= maxPartRates {
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -205,10 +205,14 @@
 		return
 	}
 	level := costLevel(options, q.Arrivals)
+	rooms := make([]float64, len(options))
+	for i, o := range options {
+		rooms[i] = o.room(level)
+	}
 	for range spreadDraws {
-		consider(drawByRoom(options, level, random), level)
+		consider(drawByRoom(options, rooms, random), level)
 	}
-	shared := q.sharedParts()
+	shared := sharedParts(q.Parts)
 	for _, o := range options {
 		if o.state == home || len(shared) > 0 && o.state.cachedTokens(shared, q.Model, q.Now) > 0 {
 			consider(o, level)
@@ -283,17 +287,17 @@
 }
 
 // sharedParts returns all parts but the last: those that other requests may share.
-func (q *Query) sharedParts() []Part {
-	if len(q.Parts) == 0 {
+func sharedParts(parts []Part) []Part {
+	if len(parts) == 0 {
 		return nil
 	}
-	return q.Parts[:len(q.Parts)-1]
+	return parts[:len(parts)-1]
 }
 
 // homeEndpoint returns an endpoint that all instances prefer for the last shared part, or nil:
 // one of those with the highest rendezvous weights, as many as the part's requests need.
 func (q *Query) homeEndpoint(states []*State, random *rand.Rand) *State {
-	shared := q.sharedParts()
+	shared := sharedParts(q.Parts)
 	if len(shared) == 0 {
 		return nil
 	}
@@ -349,7 +353,7 @@
 // promptCost estimates how long the endpoint takes until it has prefilled the request's
 // prompt, in milliseconds, less the value of the cached tokens.
 func (q *Query) promptCost(s *State, home bool) float64 {
-	shared := q.sharedParts()
+	shared := sharedParts(q.Parts)
 	cachedTokens := float64(s.cachedTokens(shared, q.Model, q.Now))
 	if home {
 		cachedTokens = max(cachedTokens, homeCachedChance*float64(Tokens(shared)))
--- a/policy/placement/spread.go
+++ b/policy/placement/spread.go
@@ -1,8 +1,10 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"foxtailbridge/policy/clock"
 )
@@ -81,26 +83,30 @@
 	return high
 }
 
-// drawByRoom returns a random option, weighted by the number of arrivals that it has room for
-// up to the cost level.
-func drawByRoom(options []option, level float64, random *rand.Rand) option {
+// drawByRoom returns a random option, weighted by rooms, the number of arrivals that each has
+// room for, or the cheapest one if there is no room.
+func drawByRoom(options []option, rooms []float64, random *rand.Rand) option {
+	if i := drawIndex(rooms, random); i >= 0 {
+		return options[i]
+	}
+	return slices.MinFunc(options, func(a, b option) int { return cmp.Compare(a.cost(), b.cost()) })
+}
+
+// drawIndex returns a random index with a probability in proportion to its weight, or -1 if all
+// weights are 0.
+func drawIndex(weights []float64, random *rand.Rand) int {
 	total := 0.0
-	for _, o := range options {
-		total += o.room(level)
+	for _, w := range weights {
+		total += w
 	}
 	draw := random.Float64() * total
-	best := options[0]
-	for _, o := range options {
-		room := o.room(level)
-		if draw < room {
-			return o
-		}
-		draw -= room
-		if o.cost() < best.cost() {
-			best = o
+	for i, w := range weights {
+		if draw < w {
+			return i
 		}
+		draw -= w
 	}
-	return best
+	return -1
 }
 
 // loadDelay is the mean age of the loads of other instances: they travel from a member through
--- a/policy/placement/spread_test.go
+++ b/policy/placement/spread_test.go
@@ -51,18 +51,24 @@
 func TestDrawByRoom(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	options := newOptions(0.2, 0.5, 0.9)
-	level := costLevel(options, 5)
+	roomsAt := func(level float64) (rooms []float64) {
+		for _, o := range options {
+			rooms = append(rooms, o.room(level))
+		}
+		return rooms
+	}
+	rooms := roomsAt(costLevel(options, 5))
 	const draws = 5000
 	counts := map[*State]int{}
 	for range draws {
-		counts[drawByRoom(options, level, random).state]++
+		counts[drawByRoom(options, rooms, random).state]++
 	}
 	for i, want := range []float64{0.8, 0.2, 0} {
 		if got := float64(counts[options[i].state]) / draws; math.Abs(got-want) > 0.03 {
 			t.Errorf("option %d: drawn %.3f of the time, want %.3f", i, got, want)
 		}
 	}
-	if o := drawByRoom(options, 0, random); o.state != options[0].state {
+	if o := drawByRoom(options, roomsAt(0), random); o.state != options[0].state {
 		t.Errorf("without any room: drew %v, want the cheapest", o.state.Endpoint.ID)
 	}
 }
