--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -244,25 +244,20 @@
 // route is detected there first, because the sum gathers evidence fastest.
 const allRoutes catalog.RouteName = ""
 
-// countNewEndpoints counts the endpoints of an order's new release.
-func countNewEndpoints(view *registry.State, order *catalog.Order) int {
-	count := 0
+// countNewEndpoints counts the endpoints of an order's new release and their slots.
+func countNewEndpoints(view *registry.State, order *catalog.Order) (count, slots int) {
 	for _, e := range view.Endpoints[order.Service] {
 		if e.Release == order.Target {
 			count++
+			slots += e.Slots
 		}
 	}
-	return count
+	return count, slots
 }
 
 // planLightLoad tells all instances the plan for the order if its service is under light load.
 func (c *Controller) planLightLoad(view *registry.State, order *catalog.Order) {
-	slots, count := 0, 0
-	for _, e := range view.Endpoints[order.Service] {
-		if e.Release == order.Target {
-			slots, count = slots+e.Slots, count+1
-		}
-	}
+	count, slots := countNewEndpoints(view, order)
 	inFlight := c.inFlightOnOldReleases(view, order)
 	for _, n := range c.InFlight(order.Service, order.Target) {
 		inFlight += n
@@ -294,9 +289,10 @@
 
 // takeSample returns the current evidence on each route and on their sum.
 func (c *Controller) takeSample(view *registry.State, order *catalog.Order, now clock.Millis) sample {
+	endpoints, _ := countNewEndpoints(view, order)
 	s := sample{
 		at: now, routes: map[catalog.RouteName]tallies{},
-		endpoints: countNewEndpoints(view, order), inFlight: c.InFlight(order.Service, order.Target),
+		endpoints: endpoints, inFlight: c.InFlight(order.Service, order.Target),
 		beforeLoad: c.relay.ByEndpoint(forward.Series(order, forward.BeforeLoadRoute, evidence.ArmTo)),
 	}
 	read := func(route catalog.RouteName) tallies {
