--- a/loadtest/experiment/fleet.go
+++ b/loadtest/experiment/fleet.go
@@ -402,24 +402,19 @@
 
 // candidates returns the endpoints among which the policy lets an instance choose.
 func (f *fleet) candidates(r *fleetRequest, q *placement.Query) []*placement.State {
-	count := 2
-	switch f.load.Policy {
-	case FleetSubset:
-		count = fleetSubset
-	case FleetTwoChoices:
-	default:
+	if f.load.Policy != FleetSubset && f.load.Policy != FleetTwoChoices {
 		return r.instance.states
 	}
 	accepted := slices.DeleteFunc(slices.Clone(r.instance.states), func(s *placement.State) bool { return !q.Accept(s.Endpoint) })
 	if f.load.Policy == FleetTwoChoices {
 		f.random.Shuffle(len(accepted), func(i, j int) { accepted[i], accepted[j] = accepted[j], accepted[i] })
-		return accepted[:min(count, len(accepted))]
+		return accepted[:min(2, len(accepted))]
 	}
 	key := uint64(slices.Index(f.instances, r.instance))
 	slices.SortFunc(accepted, func(a, b *placement.State) int {
 		return cmp.Compare(routing.RendezvousWeight(key, string(a.Endpoint.ID)), routing.RendezvousWeight(key, string(b.Endpoint.ID)))
 	})
-	return accepted[:min(count, len(accepted))]
+	return accepted[:min(fleetSubset, len(accepted))]
 }
 
 // arrive takes a request at an endpoint.
