--- a/review/lab/queued_stop.go
+++ b/review/lab/queued_stop.go
@@ -58,11 +58,17 @@
 			headers: []string{keyLine, "X-Model: model-a", "X-Token-Counts: 1200,200"}, body: make([]byte, 1200)})
 	}
 	var all sync.WaitGroup
-	for range 4 { // They take all slots, through the machine that goes on.
+	busy := func() int { return w.replicas[0].inUse() + w.replicas[1].inUse() }
+	for range 6 { // They take all slots, through the machine that goes on.
+		if busy() == 4 {
+			break
+		}
 		all.Go(func() { audit(other) })
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+	}
+	if busy() < 4 {
+		w.fatal("the replicas are not busy")
 	}
-	time.Sleep(700 * time.Millisecond)
 	var mu sync.Mutex
 	var answers []*answer
 	for range 2 {
--- a/review/lab/replica.go
+++ b/review/lab/replica.go
@@ -28,8 +28,13 @@
 	// refuse may turn a request away before it gets a slot; it returns true if it has answered.
 	refuse func(r *replica, w http.ResponseWriter, request *http.Request) bool
 
+	// arrived is called with each request that has arrived, if it is set.
+	arrived func(request *http.Request)
+
 	mu       sync.Mutex
 	silent   bool
+	crashed  bool
+	boots    int
 	sequence int64
 	running  int
 	waiting  []chan struct{}
@@ -78,12 +83,12 @@
 func (r *replica) report() {
 	r.mu.Lock()
 	r.sequence++
-	sequence := r.sequence
-	r.mu.Unlock()
-	r.world.store.put("keyed.servers", r.id, map[string]any{
+	id, entry := r.id, map[string]any{
 		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": "ready",
-		"coldRemainingMs": 0, "sequence": sequence, "born": r.born,
-	})
+		"coldRemainingMs": 0, "sequence": r.sequence, "born": r.born,
+	}
+	r.mu.Unlock()
+	r.world.store.put("keyed.servers", id, entry)
 }
 
 // setSilent stops or resumes the status reports.
@@ -99,6 +104,13 @@
 	return fmt.Sprintf("%d,%d,%d", r.running, len(r.waiting), r.slots)
 }
 
+// inUse returns the number of slots in use.
+func (r *replica) inUse() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running
+}
+
 // acquire waits for a slot. It returns false if the queue is full or ctx ends.
 func (r *replica) acquire(ctx context.Context) (ok, full bool) {
 	r.mu.Lock()
@@ -158,6 +170,9 @@
 	}
 	arrived := time.Now()
 	r.world.detail("%s: request %s arrives, %s %s, tenant %q, %s ms left", r.id, id, request.Method, request.URL.Path, request.Header.Get("X-Tenant"), request.Header.Get("X-Deadline-Ms"))
+	if r.arrived != nil {
+		r.arrived(request)
+	}
 	if r.refuse != nil && r.refuse(r, w, request) {
 		return
 	}
