Review: check the limit of open files of case 4's stand-ins

Cause: on a machine with a lower limit the stand-ins, not the instance, would run out of descriptors, and the verdict would be wrong.

--- a/review/lab/idle_channels.go
+++ b/review/lab/idle_channels.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -63,6 +64,11 @@
 		w.startReplica(&replica{id: id, service: "returns-app", zone: "vantaa", version: "v1", slots: 6, queue: 24, run: plainRun(5 * time.Millisecond)})
 	}
 	w.maxFiles, w.brief = 4100, true
+	const ownFiles = 9000 // The consumers' and the replicas' ends of the channels.
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Max < ownFiles {
+		w.fatal("the stand-ins need %d open files, the limit is %d", ownFiles, limit.Max)
+	}
 	w.startMachines("vantaa")
 	m := w.machines[0]
 	state := &ready{}
