--- a/review/lab/replica.go
+++ b/review/lab/replica.go
@@ -31,13 +31,15 @@
 	// arrived is called with each request that has arrived, if it is set.
 	arrived func(request *http.Request)
 
-	mu       sync.Mutex
-	silent   bool
-	crashed  bool
-	boots    int
-	sequence int64
-	running  int
-	waiting  []chan struct{}
+	mu sync.Mutex
+	// coldUntil is when the replica is warm.
+	coldUntil time.Time
+	silent    bool
+	crashed   bool
+	boots     int
+	sequence  int64
+	running   int
+	waiting   []chan struct{}
 	// runs holds the requests that began to run, and how each ended.
 	runs map[string]*runRecord
 }
@@ -83,14 +85,19 @@
 func (r *replica) report() {
 	r.mu.Lock()
 	r.sequence++
-	id, entry := r.id, map[string]any{
-		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": "ready",
-		"coldRemainingMs": 0, "sequence": r.sequence, "born": r.born,
-	}
+	id, entry := r.id, r.entry()
 	r.mu.Unlock()
 	r.world.store.put("keyed.servers", id, entry)
 }
 
+// entry returns the replica's entry; the caller holds the lock.
+func (r *replica) entry() map[string]any {
+	return map[string]any{
+		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": "ready",
+		"coldRemainingMs": max(0, time.Until(r.coldUntil).Milliseconds()), "sequence": r.sequence, "born": r.born,
+	}
+}
+
 // setSilent stops or resumes the status reports.
 func (r *replica) setSilent(silent bool) {
 	r.mu.Lock()
