Pass a removal on as a removal, also while the endpoint is in its grace period

What callers saw: refunds got 502 after a store outage.

Cause: an instance that merged a tombstone during or right after an outage kept the live record and moved its offset to that of the tombstone. Peers got it as a live record. One that had not read the tombstone moved its head past it and never heard of the removal; one that had removed the endpoint by an earlier offset took it up again.

Fix: the merged record is the tombstone, for peers too. Whether to use the endpoint a little longer is each instance's own judgment of its own view. The tombstone carries the last value while its sender uses the endpoint, so that an instance that starts right after an outage still has endpoints. A tombstone for an unknown key is kept as well.

Ruled out: the removal not being read (endpoint-lapsed is logged by two of three instances), the endpoint writing again (the record is silent after its removal).

--- /dev/null
+++ b/entry/registry/expiry_test.go
@@ -0,0 +1,164 @@
+package registry
+
+import (
+	"slices"
+	"testing"
+
+	"foxtailbridge/policy/clock"
+)
+
+// fleet is a set of instances that share a clock, a log and the endpoints feed.
+type fleet struct {
+	instances []*fixture
+	log       []Record
+}
+
+func newFleet(size int) *fleet {
+	f := &fleet{}
+	for range size {
+		f.instances = append(f.instances, newFixture())
+	}
+	return f
+}
+
+func (f *fleet) sleep(d clock.Millis) {
+	for _, i := range f.instances {
+		i.now += d
+		i.RemoveExpired()
+	}
+}
+
+// write appends a record to the log; an empty value deletes the key.
+func (f *fleet) write(id, value string) {
+	f.log = append(f.log, endpointRecord(id, Offset(len(f.log)), value))
+}
+
+func (f *fleet) head() Offset { return Offset(len(f.log)) }
+
+// read makes an instance read what is new in the log, or all if it has read nothing yet.
+func (f *fleet) read(instance int) {
+	i := f.instances[instance]
+	from, known := i.Head(FeedEndpoints)
+	if !known {
+		f.list(instance)
+		return
+	}
+	i.Merge(Batch{Feed: FeedEndpoints, Records: f.log[from:], From: from, Head: f.head()})
+}
+
+// newest returns the newest records of the keys that are not deleted.
+func (f *fleet) newest() []Record {
+	var records []Record
+	for offset, record := range f.log {
+		superseded := slices.ContainsFunc(f.log[offset+1:], func(later Record) bool { return later.Key == record.Key })
+		if !superseded && !record.Deleted {
+			records = append(records, record)
+		}
+	}
+	return records
+}
+
+// list makes an instance read a listing of all keys.
+func (f *fleet) list(instance int) {
+	f.instances[instance].Merge(Batch{Feed: FeedEndpoints, Full: true, Head: f.head(), Records: f.newest()})
+}
+
+// send makes one instance send another what it lacks.
+func (f *fleet) send(from, to int) {
+	for _, b := range f.instances[from].Since(f.instances[to].Heads()) {
+		f.instances[to].Merge(b)
+	}
+}
+
+// settle lets all instances read the log regularly until all grace periods have ended.
+func (f *fleet) settle() {
+	for range 8 {
+		for i := range f.instances {
+			f.read(i)
+		}
+		f.sleep(500)
+	}
+}
+
+// TestExpiredEndpointIsRemovedEverywhere guards against a removal that one instance takes for an
+// entry that expired during a store outage: it told the others that the endpoint was alive, and
+// they kept it, or took it up again, and sent requests there until it ended.
+func TestExpiredEndpointIsRemovedEverywhere(t *testing.T) {
+	const outage = 6 * clock.Second
+	rows := []struct {
+		name string
+		// tell is called after the outage, in which "a" was removed. Instances 0 and 1 were cut
+		// off from the store, and 2 was not.
+		tell func(f *fleet)
+	}{
+		{"another instance that was cut off hears of it from a peer", func(f *fleet) { f.read(0); f.send(0, 1) }},
+		{"it hears from a peer, then reads the store", func(f *fleet) { f.read(0); f.send(0, 1); f.read(1) }},
+		{"it hears of an endpoint that came back and left", func(f *fleet) {
+			f.read(0)
+			f.write("a", "1 9 ready")
+			f.read(0)
+			f.send(0, 1)
+			f.sleep(clock.Second)
+			f.write("a", "")
+		}},
+		{"an instance that has removed it hears from one that lists the store", func(f *fleet) { f.list(0); f.send(0, 2); f.send(2, 1) }},
+		{"an instance that has removed it hears from one that reads the store", func(f *fleet) { f.read(0); f.send(0, 2); f.send(2, 1) }},
+		{"a starting instance hears of it", func(f *fleet) { f.read(0); f.instances[1] = newFixtureAt(f.instances[0].now); f.send(0, 1) }},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			f := newFleet(3)
+			f.write("a", "1 1 ready")
+			f.write("b", "1 1 ready")
+			for i := range f.instances {
+				f.read(i)
+			}
+			for range outage / clock.Second {
+				f.sleep(clock.Second)
+				f.read(2)
+			}
+			f.write("a", "")
+			f.read(2)
+			for range 3 {
+				f.sleep(clock.Second)
+				f.read(2)
+			}
+			f.write("b", "1 2 ready")
+			row.tell(f)
+			if got := f.instances[2].endpointIDs(); got != "b" {
+				t.Errorf("instance 2, which was not cut off, uses %q", got)
+			}
+			f.settle()
+			for i := range f.instances {
+				if got := f.instances[i].endpointIDs(); got != "b" {
+					t.Errorf("instance %d uses %q for good, the store holds %q", i, got, "b")
+				}
+			}
+		})
+	}
+}
+
+// TestExpiredEndpointIsUsedByStartingInstance guards against an instance that starts right after
+// a store outage and knows no endpoints until they have written new entries.
+func TestExpiredEndpointIsUsedByStartingInstance(t *testing.T) {
+	f := newFleet(2)
+	f.write("a", "1 1 ready")
+	f.read(0)
+	f.sleep(6 * clock.Second)
+	f.write("a", "")
+	f.read(0)
+	f.send(0, 1)
+	if got := f.instances[1].endpointIDs(); got != "a" {
+		t.Errorf("the instance uses %q, its peer %q", got, f.instances[0].endpointIDs())
+	}
+	f.sleep(clock.Second)
+	f.write("a", "1 2 ready")
+	f.settle()
+	for i := range f.instances {
+		if got := f.instances[i].endpointIDs(); got != "a" {
+			t.Errorf("instance %d uses %q after the endpoint wrote a new entry", i, got)
+		}
+	}
+}
+
+// TestGraceStartsWhenStoreReturns
--- a/entry/registry/record.go
+++ b/entry/registry/record.go
@@ -30,7 +30,8 @@
 	Feed   Feed   `json:"Feed"`
 	Key    string `json:"Key"`
 	Offset Offset `json:"Offset"`
-	Value  []byte `json:"Value"`
+	// Value is the content. A deleted endpoint has one only while the sender still uses it.
+	Value []byte `json:"Value"`
 	// Deleted is true if the key was deleted.
 	Deleted bool `json:"Gone"`
 	// Age is the time since any instance first saw the record. It is set only in
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -27,9 +27,10 @@
 	object Object
 	// firstSeen is the monotonic time at which any instance first saw the record.
 	firstSeen clock.Millis
-	// expiredAt is when the key was found missing while the store was unavailable or
-	// had just recovered, or 0.
-	expiredAt clock.Millis
+	// expired is true for the tombstone of an endpoint whose entry may merely have expired
+	// during a store outage. The endpoint stays in the view until the grace period ends, so the
+	// tombstone keeps the value of the last live record.
+	expired bool
 	// sequence is the sequence number of the endpoint's last heartbeat.
 	sequence int64
 }
@@ -224,11 +225,14 @@
 	}
 	next := &entry{record: *record, firstSeen: now - record.Age}
 	next.record.Feed = b.Feed
-	if !record.Deleted {
+	if !record.Deleted || len(record.Value) > 0 {
 		object, err := r.Decode(&next.record)
 		if err != nil {
 			r.logger.Warn("record-skipped", "feed", b.Feed, "key", record.Key, "offset", record.Offset, "source", b.Source, "error", err)
-			return false
+			if !record.Deleted {
+				return false
+			}
+			next.record.Value = nil
 		}
 		next.object = object
 	}
@@ -252,20 +256,7 @@
 // content it keeps the first, so that the others are not passed on to peers.
 func (r *Registry) mergeEndpoint(key recordID, old, next *entry, now clock.Millis) bool {
 	if next.record.Deleted {
-		if old == nil || old.record.Deleted {
-			return false
-		}
-		if now-r.recoveredAt < r.opts.expiryGrace || r.age(FeedEndpoints) > r.opts.unavailableAfter {
-			// Entries expire during a store outage. A live endpoint writes a new one.
-			r.logger.Info("endpoint-lapsed", "endpoint", key.key, "offset", next.record.Offset,
-				"since-returned-ms", int64(now-r.recoveredAt), "view-age-ms", int64(r.age(FeedEndpoints)))
-			old.expiredAt = now
-			old.record.Offset = next.record.Offset
-			return false
-		}
-		r.entries[key] = next
-		r.logger.Info("endpoint-gone", "endpoint", key.key, "offset", next.record.Offset)
-		return true
+		return r.deleteEndpoint(key, old, next, now)
 	}
 	e := next.object.Endpoint
 	if e == nil {
@@ -273,12 +264,11 @@
 	}
 	if old != nil && old.object.Endpoint != nil {
 		o := old.object.Endpoint
-		if e.StartedAt < o.StartedAt || e.StartedAt == o.StartedAt && e.Sequence < old.sequence && !old.record.Deleted {
+		if e.StartedAt < o.StartedAt || e.StartedAt == o.StartedAt && e.Sequence < old.sequence {
 			r.logger.Warn("beat-is-old", "endpoint", key.key, "born", e.StartedAt, "sequence", e.Sequence, "known-sequence", old.sequence)
 			return false
 		}
 		if !old.record.Deleted && sameExceptWarmup(o, e) {
-			old.expiredAt = 0
 			old.sequence = e.Sequence
 			return false
 		}
@@ -290,6 +280,40 @@
 	return true
 }
 
+// deleteEndpoint merges the tombstone of an endpoint's record. Whether the endpoint left or its
+// entry merely expired during a store outage is each instance's own judgment, so peers receive the
+// tombstone in either case.
+func (r *Registry) deleteEndpoint(key recordID, old, next *entry, now clock.Millis) bool {
+	sinceRecovery, age := now-r.recoveredAt, r.age(FeedEndpoints)
+	switch {
+	case old == nil:
+		if e := next.object.Endpoint; e != nil {
+			// A peer still uses an endpoint that this instance never knew.
+			next.expired, next.sequence = true, e.Sequence
+		}
+		r.entries[key] = next
+		return next.expired
+	case old.record.Deleted:
+		old.record.Offset = next.record.Offset
+		return false
+	case sinceRecovery < r.opts.expiryGrace || age > r.opts.unavailableAfter:
+		// A live endpoint writes a new entry within the grace period.
+		next.expired, next.record.Value, next.object, next.sequence = true, old.record.Value, old.object, old.sequence
+		r.entries[key] = next
+		r.logger.Info("endpoint-lapsed", "endpoint", key.key, "offset", next.record.Offset, "since-returned-ms", int64(sinceRecovery), "view-age-ms", int64(age))
+		return false
+	}
+	r.removeEndpoint(next)
+	r.entries[key] = next
+	return true
+}
+
+// removeEndpoint turns an endpoint's tombstone into one without content.
+func (r *Registry) removeEndpoint(tombstone *entry) {
+	tombstone.expired, tombstone.record.Value, tombstone.object = false, nil, Object{}
+	r.logger.Info("endpoint-gone", "endpoint", tombstone.record.Key, "offset", tombstone.record.Offset, "lapsed-ms", int64(r.clock.Mono()-tombstone.firstSeen))
+}
+
 // sameExceptWarmup reports whether two states of an endpoint differ at most in the
 // remaining cold time, which must not have grown.
 func sameExceptWarmup(a, b *catalog.Endpoint) bool {
@@ -327,18 +351,16 @@
 	r.mu.Lock()
 	now := r.clock.Mono()
 	changed := false
-	for key, e := range r.entries {
-		if e.expiredAt == 0 || e.record.Deleted {
+	for _, e := range r.entries {
+		if !e.expired {
 			continue
 		}
-		since := max(r.recoveredAt, e.expiredAt)
+		since := max(r.recoveredAt, e.firstSeen)
 		if r.age(FeedEndpoints) > r.opts.unavailableAfter || now-since < r.opts.expiryGrace {
 			continue
 		}
-		e.record.Deleted = true
-		e.record.Value = nil
+		r.removeEndpoint(e)
 		changed = true
-		r.logger.Info("endpoint-gone", "endpoint", key.key, "offset", e.record.Offset, "lapsed-ms", int64(now-e.expiredAt))
 	}
 	if changed {
 		r.rebuild()
@@ -406,7 +428,7 @@
 		Statuses: map[ticket.ServiceName]Status{},
 	}
 	for _, e := range r.entries {
-		if e.record.Deleted {
+		if e.record.Deleted && !e.expired {
 			continue
 		}
 		switch {
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -44,7 +44,11 @@
 }
 
 func newFixture() *fixture {
-	f := &fixture{now: 100 * clock.Second}
+	return newFixtureAt(100 * clock.Second)
+}
+
+func newFixtureAt(now clock.Millis) *fixture {
+	f := &fixture{now: now}
 	f.Registry = New(&clock.Clock{Mono: func() clock.Millis { return f.now }}, hclog.NewNullLogger())
 	f.Decode = decode
 	return f
