Count the grace period of expired entries from the store's return

Cause: an endpoint whose entry is removed shortly after an outage was used for two seconds from its removal. Live endpoints write again within two seconds of the store's return, so an entry that is missing then is gone.

Evidence: TestGraceStartsWhenStoreReturns fails before (used 500 ms after its removal).

--- a/entry/registry/expiry_test.go
+++ b/entry/registry/expiry_test.go
@@ -161,4 +161,49 @@
 	}
 }
 
-// TestGraceStartsWhenStoreReturns
+// TestGraceStartsWhenStoreReturns guards against an endpoint that leaves shortly after a store
+// outage and is used for longer than the time in which entries that expired are written anew.
+func TestGraceStartsWhenStoreReturns(t *testing.T) {
+	rows := []struct {
+		name string
+		// removedAfter is the time from the store's return to the removal.
+		removedAfter clock.Millis
+		suspended    bool
+		// usedFor is the time from the removal for which the endpoint is still used.
+		usedFor clock.Millis
+	}{
+		{"removed during the outage", 0, false, 2 * clock.Second},
+		{"removed after the outage", 1500, false, 500},
+		{"removed late after the outage", 3 * clock.Second, false, 0},
+		{"the instance was suspended meanwhile", 3 * clock.Second, true, 2 * clock.Second},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			f := newFleet(1)
+			f.write("a", "1 1 ready")
+			f.read(0)
+			f.sleep(6 * clock.Second)
+			if row.removedAfter > 0 {
+				f.read(0)
+				f.sleep(row.removedAfter / 2)
+				f.read(0)
+				f.sleep(row.removedAfter / 2)
+			}
+			if row.suspended {
+				f.instances[0].MarkStale()
+			}
+			f.write("a", "")
+			f.read(0)
+			for used := clock.Millis(0); used < row.usedFor; used += 100 {
+				if f.instances[0].endpointIDs() != "a" {
+					t.Fatalf("the endpoint is dropped after %d ms, want %d", used, row.usedFor)
+				}
+				f.sleep(100)
+				f.read(0)
+			}
+			if f.instances[0].endpointIDs() != "" {
+				t.Errorf("the endpoint is still used %d ms after its removal", row.usedFor)
+			}
+		})
+	}
+}
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -355,7 +355,10 @@
 		if !e.expired {
 			continue
 		}
-		since := max(r.recoveredAt, e.firstSeen)
+		since := e.firstSeen
+		if r.recoveredAt > since-r.opts.expiryGrace {
+			since = r.recoveredAt // Endpoints write new entries as soon as they reach the store.
+		}
 		if r.age(FeedEndpoints) > r.opts.unavailableAfter || now-since < r.opts.expiryGrace {
 			continue
 		}
