Keep removals and returns of endpoints that compacted batches hide

An instance could use a removed endpoint for good, or never again one that had come back.

Cause: batches from peers and listings hold only the latest record of each key, but were merged as if they held the log. (1) An equal heartbeat was dropped although the endpoint had left and come back in between, so the known offset was older than the tombstone that others hold. (2) An older tombstone in a peer's listing made the key count as present. (3) An instance that started from a peer's records did not take over that removals before them are unknown.

Fix: batches built from the registry are marked as compacted; an equal record in one moves the known offset and value. Deleted keys in a listing do not count as present. The first batch for a peer is a listing if its sender listed.

Evidence: four rows of TestLeftAndReturnedEndpoint and TestRemovalOutlivesListing fail before.

--- a/entry/registry/expiry_test.go
+++ b/entry/registry/expiry_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"foxtailbridge/policy/clock"
 )
 
@@ -207,3 +210,126 @@
 		})
 	}
 }
+
+// TestLeftAndReturnedEndpoint guards against an instance that misses that an endpoint left or came
+// back, because the batches which reach it hold only the latest record of each key, and so uses
+// an endpoint that is gone, or never again one that lives.
+func TestLeftAndReturnedEndpoint(t *testing.T) {
+	rows := []struct {
+		name     string
+		events   func(f *fleet)
+		instance int
+		want     string
+	}{
+		{"a listing shows an endpoint as it was before it left and came back", func(f *fleet) {
+			f.write("a", "1 1 ready")
+			f.read(0)
+			f.read(1)
+			f.write("a", "")
+			f.read(1)
+			f.write("a", "1 2 ready")
+			f.list(0)
+			f.send(0, 1)
+		}, 1, "a"},
+		{"the same after a store outage", func(f *fleet) {
+			f.write("a", "1 1 ready")
+			f.list(0)
+			f.list(1)
+			f.sleep(2600)
+			f.write("a", "1 2 ready")
+			f.write("a", "")
+			f.read(0)
+			f.write("a", "1 3 ready")
+			f.list(1)
+			f.send(1, 0)
+		}, 0, "a"},
+		{"a peer's listing has a tombstone that is older than the last removal", func(f *fleet) {
+			f.write("a", "1 1 ready")
+			f.list(0)
+			f.write("a", "")
+			f.read(0)
+			f.write("a", "1 2 ready")
+			f.list(1)
+			f.write("a", "")
+			f.list(2)
+			f.send(2, 0)
+			f.send(0, 1)
+		}, 1, ""},
+		{"a peer has no tombstone between two equal records", func(f *fleet) {
+			f.write("a", "1 1 ready")
+			f.list(0)
+			f.write("a", "")
+			f.list(2)
+			f.write("a", "1 2 ready")
+			f.send(0, 1)
+			f.read(1)
+			f.send(1, 0)
+			f.send(0, 2)
+		}, 2, "a"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			f := newFleet(3)
+			row.events(f)
+			f.settle()
+			if got := f.instances[row.instance].endpointIDs(); got != row.want {
+				t.Errorf("the instance uses %q, the store holds %q", got, row.want)
+			}
+		})
+	}
+}
+
+// TestRemovalOutlivesListing guards against a removal that an instance which got its records from
+// a peer's listing no longer knows, and so does not tell to one that still uses the endpoint.
+func TestRemovalOutlivesListing(t *testing.T) {
+	f := newFleet(3)
+	f.write("a", "1 1 ready")
+	f.read(2)
+	f.write("a", "")
+	f.write("b", "1 1 ready")
+	f.list(0)
+	f.send(0, 1)
+	f.send(1, 2)
+	f.settle()
+	if got := f.instances[2].endpointIDs(); got != "b" {
+		t.Errorf("the instance uses %q, the store holds %q", got, "b")
+	}
+}
+
+// TestInstancesAgreeWithStore checks that all instances end with the store's endpoints, whatever
+// the order of outages, restarts, reads and exchanges between them.
+func TestInstancesAgreeWithStore(t *testing.T) {
+	t.Run("any order of events", rapid.MakeCheck(func(t *rapid.T) {
+		f := newFleet(3)
+		sequences := map[string]int{}
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			instance := rapid.IntRange(0, 2).Draw(t, "instance")
+			id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "endpoint")
+			switch rapid.SampledFrom([]string{"beat", "remove", "read", "list", "send", "send", "sleep", "restart"}).Draw(t, "event") {
+			case "beat":
+				sequences[id]++
+				f.write(id, "1 "+strconv.Itoa(sequences[id])+" ready")
+			case "remove":
+				f.write(id, "")
+			case "read":
+				f.read(instance)
+			case "list":
+				f.list(instance)
+			case "send":
+				f.send(instance, (instance+rapid.IntRange(1, 2).Draw(t, "to"))%3)
+			case "sleep":
+				f.sleep(clock.Millis(rapid.IntRange(1, 30).Draw(t, "sleep") * 100))
+			case "restart":
+				f.instances[instance] = newFixtureAt(f.instances[instance].now)
+			}
+		}
+		f.settle()
+		want := newFixture()
+		want.mergeEndpoints(f.head(), f.newest()...)
+		for i := range f.instances {
+			if got := f.instances[i].endpointIDs(); got != want.endpointIDs() {
+				t.Fatalf("instance %d uses %q, the store holds %q", i, got, want.endpointIDs())
+			}
+		}
+	}))
+}
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -153,6 +153,8 @@
 	Age clock.Millis `json:"Age"`
 	// Full is true for a listing of all keys: keys that are not in it do not exist.
 	Full bool `json:"Whole"`
+	// Compacted is true if the batch has only the latest record of each key.
+	Compacted bool `json:"compacted,omitempty"`
 	// Source names the origin of the batch in log lines.
 	Source string `json:"Source"`
 }
@@ -237,7 +239,7 @@
 		next.object = object
 	}
 	if b.Feed == FeedEndpoints {
-		return r.mergeEndpoint(key, old, next, now)
+		return r.mergeEndpoint(key, old, next, b.Full || b.Compacted, now)
 	}
 	if old != nil && old.record.Deleted == record.Deleted && bytes.Equal(old.record.Value, record.Value) {
 		if b.Feed != FeedOrders {
@@ -252,9 +254,10 @@
 	return true
 }
 
-// mergeEndpoint merges an endpoint's record. Of several heartbeats with the same
-// content it keeps the first, so that the others are not passed on to peers.
-func (r *Registry) mergeEndpoint(key recordID, old, next *entry, now clock.Millis) bool {
+// mergeEndpoint merges an endpoint's record. Of several heartbeats in the log with the same
+// content it keeps the first, so that the others are not passed on to peers. A compacted batch
+// may lack a tombstone between them.
+func (r *Registry) mergeEndpoint(key recordID, old, next *entry, compacted bool, now clock.Millis) bool {
 	if next.record.Deleted {
 		return r.deleteEndpoint(key, old, next, now)
 	}
@@ -270,6 +273,10 @@
 		}
 		if !old.record.Deleted && sameExceptWarmup(o, e) {
 			old.sequence = e.Sequence
+			if compacted {
+				// The endpoint may have been removed and come back since the first heartbeat.
+				old.record.Offset, old.record.Value = next.record.Offset, next.record.Value
+			}
 			return false
 		}
 	}
@@ -324,12 +331,12 @@
 	return x.EqualExceptSequence(&y)
 }
 
-// deleteMissing deletes the keys that a full listing lacks, unless their records are
-// newer than the listing.
+// deleteMissing deletes the keys that a full listing lacks or has as deleted, unless their
+// records are newer than the listing.
 func (r *Registry) deleteMissing(b *Batch, now clock.Millis) bool {
 	present := map[string]bool{}
 	for i := range b.Records {
-		present[b.Records[i].Key] = true
+		present[b.Records[i].Key] = !b.Records[i].Deleted
 	}
 	changed := false
 	for key, old := range r.entries {
@@ -386,10 +393,11 @@
 			continue
 		}
 		from, known := heads[feed]
-		b := Batch{Feed: feed, Head: head, Age: r.age(feed)}
+		b := Batch{Feed: feed, Head: head, Age: r.age(feed), Compacted: true}
 		switch {
-		case known && from < r.listedUpTo[feed]:
-			// Keys deleted since then are not known here, so send all that remain.
+		case from < r.listedUpTo[feed]:
+			// Keys deleted since then are not known here, so send all that remain. A receiver
+			// that knows nothing yet must not take such a key from a third instance either.
 			b.Records, b.Full = r.recordsFrom(feed, 0, false, now), true
 		case !known || from < head:
 			b.Records = r.recordsFrom(feed, from, known, now)
