Answer requests without a response before a planned stop ends

Cause: at the end of the drain the process exits with requests in flight. That suits begun responses only, but nothing ended the wait of the others, and a request whose context is done was taken for one whose caller is gone, so it had no path to an answer.

--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -38,8 +38,11 @@
 		return Result{Reason: ReasonServed}, true
 	}
 	r.close()
-	if ctx.Err() != nil || errors.Is(err, errCallerWrite) {
-		return t.callerDisconnected(), true
+	if errors.Is(err, errCallerWrite) {
+		return Result{Reason: ReasonCallerGone, LocalReply: true, Abort: t.headSent}, true
+	}
+	if ctx.Err() != nil {
+		return t.canceled(ctx), true
 	}
 	resumable := t.route.Resumable && fault.KindOf[Kind](err) != KindOverrun
 	outcome := attempt.Outcome{Sent: attempt.SentSome, Idempotent: t.retryable(), Resumable: resumable, ResponseStarted: t.headSent, EarlierMayHaveRun: true}
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 
@@ -202,8 +203,13 @@
 	ReasonStreamCut      Reason = "stream-cut"
 	ReasonNoEndpoint     Reason = "no-endpoint"
 	ReasonEndpointsFull  Reason = "endpoints-full"
+	ReasonShutdown       Reason = "shutdown"
 )
 
+// ErrShutdown is the cause with which the context of a request is canceled when the instance
+// cannot wait for its response any longer.
+var ErrShutdown = errors.New("the instance is shutting down")
+
 // Result is the outcome of a request.
 type Result struct {
 	// Status is the response status; 0 if the response was streamed or the caller
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"foxtailbridge/entry/registry"
@@ -307,7 +308,7 @@
 // noEndpoint returns the result of a request for which there is no endpoint.
 func (t *task) noEndpoint(ctx context.Context, choice placement.Choice) Result {
 	if ctx.Err() != nil {
-		return t.callerDisconnected()
+		return t.canceled(ctx)
 	}
 	outOfTime := choice.Reason == routing.Reason(ReasonDeadlinePassed)
 	t.logger.Info("no-endpoint", "request", t.request.ID, "reason", choice.Reason, "considered", choice.Considered,
@@ -337,6 +338,9 @@
 	minRetryAfter = 150 * clock.Millis(1)
 	// maxRetryAfter bounds Retry-After: endpoints are back or replaced by then.
 	maxRetryAfter = 2 * clock.Second
+	// ShutdownRetryAfter is the Retry-After of a request that is refused because the instance
+	// shuts down. Others can serve it at once.
+	ShutdownRetryAfter = 50 * clock.Millis(1)
 )
 
 // estimateRetryAfter estimates when an endpoint will have room.
@@ -511,8 +515,11 @@
 // has ended.
 func (t *task) handleOutcome(ctx context.Context, outcome attempt.Outcome, r *run) (Result, bool) {
 	if ctx.Err() != nil {
+		if answered := outcome.Result == attempt.ResultAnswered || outcome.Result == attempt.ResultLowConfidence; answered && r.response.Next == nil {
+			return t.deliver(ctx, r) // The response is complete.
+		}
 		r.close()
-		return t.callerDisconnected(), true
+		return t.canceled(ctx), true
 	}
 	step := attempt.Next(outcome)
 	switch step {
@@ -543,9 +550,18 @@
 	return localReply(http.StatusBadGateway, ReasonOutcomeUnknown, 0), true
 }
 
-// callerDisconnected returns the result of a request whose caller disconnected.
-func (t *task) callerDisconnected() Result {
-	return Result{Reason: ReasonCallerGone, LocalReply: true, Abort: t.headSent}
+// canceled returns the result of a request whose context is done: the caller disconnected, or
+// the instance shuts down and still owes the caller a response.
+func (t *task) canceled(ctx context.Context) Result {
+	switch {
+	case !errors.Is(context.Cause(ctx), ErrShutdown):
+		return Result{Reason: ReasonCallerGone, LocalReply: true, Abort: t.headSent}
+	case t.headSent:
+		return Result{Reason: ReasonShutdown, Abort: true}
+	case t.mayHaveRun:
+		return localReply(http.StatusBadGateway, ReasonShutdown, 0)
+	}
+	return localReply(http.StatusServiceUnavailable, ReasonShutdown, ShutdownRetryAfter)
 }
 
 // abort returns the result of a started response that cannot be completed.
