Truncate log lines, so that an endpoint's bytes cannot fill the memory

Cause: the queue of log lines is bounded in lines, not in bytes. Lines name ids that endpoints and callers choose, such as the id of the last event of a stream, up to 64 KiB. With a slow output 2,048 of them held 151 MB; the smallest machine has 184 MB.

Fix: a line is truncated at 4 KiB; usual ones have less than 1 KiB.

Evidence: TestLongLinesAreTruncated fails before with 151,133,344 bytes, limit 9,441,792.

--- a/link/telemetry/async_writer.go
+++ b/link/telemetry/async_writer.go
@@ -14,13 +14,18 @@
 	maxQueuedLines = 2048
 	// reservedLines is the part of the queue reserved for warnings and errors.
 	reservedLines = maxQueuedLines / 4
+	// maxLineBytes limits a line. Lines name ids and errors that callers and endpoints choose, up to
+	// the 64 KiB of a header or an event, while usual lines have less than 1 KiB.
+	maxLineBytes = 4 << 10
+	// truncationMark ends a line that was longer.
+	truncationMark = "...\n"
 	// closeTimeout limits how long Close waits for the output; it fits into the part of
 	// the grace period that the rest of the shutdown leaves.
 	closeTimeout = 500 * time.Millisecond
 )
 
-// AsyncWriter is a writer that never blocks: lines are queued, and dropped and counted
-// when the queue is full.
+// AsyncWriter is a writer that never blocks: lines are queued, truncated if they are too long, and
+// dropped and counted when the queue is full.
 type AsyncWriter struct {
 	lines   chan []byte
 	dropped atomic.Int64
@@ -47,13 +52,21 @@
 		return len(line), nil
 	}
 	select {
-	case w.lines <- append([]byte(nil), line...):
+	case w.lines <- copyLine(line):
 	default:
 		w.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// copyLine returns a copy of a line, truncated to maxLineBytes.
+func copyLine(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return append([]byte(nil), line...)
+	}
+	return append(append([]byte(nil), line[:maxLineBytes-len(truncationMark)]...), truncationMark...)
+}
+
 func (w *AsyncWriter) drain(output io.Writer) {
 	defer close(w.done)
 	for {
--- a/link/telemetry/async_writer_test.go
+++ b/link/telemetry/async_writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -46,6 +47,33 @@
 	}
 }
 
+// TestLongLinesAreTruncated guards against bytes that endpoints and callers choose, such as an
+// event id of 64 KiB, filling the memory through the queue of log lines while the output is slow.
+func TestLongLinesAreTruncated(t *testing.T) {
+	const perLine = maxLineBytes + 512 // The queue's own bytes included.
+	out := &blockedOutput{}
+	out.mu.Lock()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	w := NewAsyncWriter(out)
+	long := []byte("repeat: after=" + strings.Repeat("7", 64<<10) + "\n")
+	for range maxQueuedLines + 1 {
+		_, _ = w.Write(long)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > (maxQueuedLines+1)*perLine {
+		t.Errorf("%d queued lines hold %d bytes, want at most %d", maxQueuedLines, grown, (maxQueuedLines+1)*perLine)
+	}
+	out.mu.Unlock()
+	w.Close()
+	first, _, _ := strings.Cut(out.buf.String(), "\n")
+	if len(first) != maxLineBytes-1 || !strings.HasPrefix(first, "repeat: after=777") || !strings.HasSuffix(first, "7...") {
+		t.Errorf("a line of %d bytes is written as %d", len(long), len(first)+1)
+	}
+}
+
 // TestAsyncWriterReservesLinesForWarnings guards against a queue full of info lines on
 // served requests: the lines on failed requests were dropped.
 func TestAsyncWriterReservesLinesForWarnings(t *testing.T) {
