Entry instance: answer the requests that outlast the drain

A request that took longer than drain-ms lost its connection without a response five seconds after the drain ended. The example settings drain for 30 s, a workspace may wait 60 s.

Cause: Drain gave up, and nothing ended the wait of what was left before the process did.

Fix: Shutdown cancels these requests with a cause of its own. They get 503 "draining" with their outcome, begun streams an error event; nothing is billed. A claimed call is recorded as unknown, so that other instances need not wait for one that is gone.

Evidence: TestRequestOutlastsDrain fails before in each row (no response); passes after, as do all tests of entry. The platform program does not contain these packages.

--- a/entry/instance/instance.go
+++ b/entry/instance/instance.go
@@ -193,6 +193,9 @@
 	i.logger.Info("shutdown-began", "active", i.Router.InFlight())
 	_ = i.clock.Sleep(ctx, notReadyDelay)
 	drained := i.Router.Drain(ctx)
+	if !drained {
+		i.Router.StopWaiting()
+	}
 	for i.Ledger.Unsettled() > 0 && ctx.Err() == nil {
 		if i.Ledger.HandOverAll(ctx) {
 			break
--- a/entry/promises/answer_test.go
+++ b/entry/promises/answer_test.go
@@ -200,6 +200,50 @@
 	})
 }
 
+// TestRequestOutlastsDrain guards against a planned stop that ends while requests wait for their
+// endpoints: their connections were closed without a response.
+func TestRequestOutlastsDrain(t *testing.T) {
+	rows := []struct {
+		name    string
+		send    func(a *node) *reply
+		outcome claim.State
+	}{
+		{"chat", func(a *node) *reply { return a.chat("small", "hello") }, claim.StateUnknown},
+		{"stream", func(a *node) *reply { return a.stream("small", "hello") }, claim.StateUnknown},
+		{"idempotent call", func(a *node) *reply { return a.send(http.MethodPost, "/v1/services/stock/lookup", "{}") }, claim.StateUnknown},
+		{"call that may run only once", func(a *node) *reply { return a.refund("", "{}") }, claim.StateUnknown},
+		{"chat for which no endpoint is left", func(a *node) *reply {
+			a.env.engines["engine-a"].SetFaults(engine.Faults{Draining: true})
+			a.env.engines["engine-b"].SetFaults(engine.Faults{Draining: true})
+			return a.chat("small", "hello")
+		}, claim.StateNotRun},
+	}
+	for _, row := range rows {
+		runInEnv(t, row.name, instance.Options{}, func(env *testEnv) {
+			env.engine("engine-a", "a", engine.Config{Version: "small@1", FirstTokenLatency: 4000, TokenInterval: 5})
+			env.engine("engine-b", "b", engine.Config{Version: "small@1", FirstTokenLatency: 4000, TokenInterval: 5})
+			env.service("stock-a", "a", "stock").SetFaults(service.Faults{Delay: 4000})
+			a := env.node("node-a", "a")
+			env.publish(baseTicket)
+			env.advance(2 * time.Second)
+			answered := make(chan *reply, 1)
+			go func() { answered <- row.send(a) }()
+			env.advance(100 * time.Millisecond)
+			drainCtx, cancel := withTimeout(a.ctx, 2500*time.Millisecond)
+			defer cancel()
+			So(a.Shutdown(drainCtx), ShouldBeFalse)
+			env.advance(50 * time.Millisecond)
+			a.kill()
+			got := <-answered
+			So(got.finished, ShouldBeTrue)
+			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(got.code, ShouldEqual, "draining")
+			So(got.outcome, ShouldEqual, row.outcome)
+			So(env.ledger().Bills(), ShouldBeEmpty)
+		})
+	}
+}
+
 // startPoisonable starts two instances and five engines that crash on a poison request.
 func (env *testEnv) startPoisonable() (a, b *node) {
 	for i := range 5 {
--- a/entry/router/attempts.go
+++ b/entry/router/attempts.go
@@ -132,7 +132,7 @@
 
 func (a *attemptRunner) canceledProblem(ctx context.Context) *caller.Problem {
 	if ctx.Err() != nil {
-		return newProblem(a.job.ID, statusClientClosed, caller.CodeCanceled, claim.StateUnknown, "the caller went away", 0)
+		return interruptedProblem(ctx, a.job.ID, a.outcome())
 	}
 	return newProblem(a.job.ID, http.StatusGatewayTimeout, caller.CodeDeadline, a.outcome(), "no first token within the workspace's deadline", clock.Second)
 }
--- a/entry/router/call.go
+++ b/entry/router/call.go
@@ -61,6 +61,8 @@
 		return nil, p
 	}
 	defer r.endRequest()
+	ctx, release := r.untilStopped(ctx)
+	defer release()
 	if answer, p, done := j.answerFromEarlierClaim(ctx); done {
 		return answer, p
 	}
@@ -72,7 +74,8 @@
 	r.OnStep(StepAdmitted, request.ID)
 	if !j.idempotent {
 		// A claimed request must not be canceled when its caller disconnects.
-		ctx = context.WithoutCancel(ctx)
+		ctx, release = r.untilStopped(context.WithoutCancel(ctx))
+		defer release()
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(0, j.deadline-r.clock.Mono()).Duration()+callGrace)
 	defer cancel()
@@ -226,6 +229,9 @@
 			j.tried = append(j.tried, d.ID)
 			continue
 		}
+		if isStopped(ctx) {
+			return nil, interruptedProblem(ctx, j.ID, claim.StateUnknown)
+		}
 		return nil, newProblem(j.ID, http.StatusBadGateway, caller.CodeEndpointFailed, claim.StateUnknown, err.Error(), 0)
 	}
 }
@@ -257,6 +263,9 @@
 			break
 		}
 	}
+	if isStopped(ctx) {
+		return nil, interruptedProblem(ctx, j.ID, outcome)
+	}
 	return nil, newProblem(j.ID, http.StatusBadGateway, caller.CodeEndpointFailed, outcome, "no endpoint answered", clock.Second)
 }
 
@@ -284,6 +293,9 @@
 			j.tried = nil
 		}
 		if r.clock.Sleep(ctx, endpointBackoff) != nil {
+			if isStopped(ctx) {
+				return nil, interruptedProblem(ctx, j.ID, outcome)
+			}
 			return nil, unavailableProblem(j.ID, caller.CodeCanceled, outcome, "the caller went away", 0)
 		}
 	}
--- a/entry/router/chat.go
+++ b/entry/router/chat.go
@@ -97,6 +97,8 @@
 		return nil, p
 	}
 	defer r.endRequest()
+	ctx, release := r.untilStopped(ctx)
+	defer release()
 	j := r.newChatJob(request)
 	if j.workspace == nil || j.workspace.State != ticket.LifecycleActive {
 		return nil, newProblem(request.ID, http.StatusForbidden, caller.CodeNotAllowed, outcome, "the workspace is not configured", 0)
@@ -351,14 +353,15 @@
 }
 
 // handleFailure records a failed version. If the caller disconnected, the tokens
-// generated so far are billed; otherwise a failure of the endpoint is counted
-// against the version.
+// generated so far are billed, but not if the instance shuts down; otherwise a failure
+// of the endpoint is counted against the version.
 func (j *chatJob) handleFailure(ctx context.Context, a *attemptRunner, p *caller.Problem) *caller.Problem {
 	r := j.router
 	r.metrics.Counter("failed").Inc(1)
 	r.logDecision("failed", "request", j.ID, "workspace", j.Workspace, "version", a.version,
 		"code", p.Code, "outcome", p.Outcome, "tokens", a.received, "detail", p.Detail)
 	switch {
+	case isStopped(ctx):
 	case ctx.Err() != nil && a.received > 0:
 		a.end = &endpoint.StreamResult{CompletionTokens: a.received}
 		j.charge(a)
--- a/entry/router/router.go
+++ b/entry/router/router.go
@@ -70,10 +70,14 @@
 	inFlight      int
 	drained       chan struct{}
 	draining      bool
+	// waiting is done once StopWaiting was called.
+	waiting     context.Context
+	stopWaiting context.CancelFunc
 }
 
 // New returns a Router for the instance.
 func New(instance string, deps Dependencies, c *clock.Clock, random *rand.Rand, logger hclog.Logger, metrics tally.Scope) *Router {
+	waiting, stopWaiting := context.WithCancel(context.Background())
 	r := &Router{
 		OnStep:        func(Step, claim.RequestID) {},
 		instance:      instance,
@@ -87,6 +91,8 @@
 		budget:        admission.NewRetryBudget(),
 		ratingWaiters: map[claim.RequestID]chan bool{},
 		drained:       make(chan struct{}),
+		waiting:       waiting,
+		stopWaiting:   stopWaiting,
 	}
 	deps.Learner.OnRating = r.deliverRating
 	return r
