--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -39,7 +39,7 @@
 	}
 	r.close()
 	if errors.Is(err, errCallerWrite) {
-		return Result{Reason: ReasonCallerGone, LocalReply: true, Abort: t.headSent}, true
+		return t.callerDisconnected(), true
 	}
 	if ctx.Err() != nil {
 		return t.canceled(ctx), true
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -515,7 +515,8 @@
 // has ended.
 func (t *task) handleOutcome(ctx context.Context, outcome attempt.Outcome, r *run) (Result, bool) {
 	if ctx.Err() != nil {
-		if answered := outcome.Result == attempt.ResultAnswered || outcome.Result == attempt.ResultLowConfidence; answered && r.response.Next == nil {
+		answered := outcome.Result == attempt.ResultAnswered || outcome.Result == attempt.ResultLowConfidence
+		if answered && r.response.Next == nil {
 			return t.deliver(ctx, r) // The response is complete.
 		}
 		r.close()
@@ -550,12 +551,17 @@
 	return localReply(http.StatusBadGateway, ReasonOutcomeUnknown, 0), true
 }
 
+// callerDisconnected returns the result of a request whose caller disconnected.
+func (t *task) callerDisconnected() Result {
+	return Result{Reason: ReasonCallerGone, LocalReply: true, Abort: t.headSent}
+}
+
 // canceled returns the result of a request whose context is done: the caller disconnected, or
 // the instance shuts down and still owes the caller a response.
 func (t *task) canceled(ctx context.Context) Result {
 	switch {
 	case !errors.Is(context.Cause(ctx), ErrShutdown):
-		return Result{Reason: ReasonCallerGone, LocalReply: true, Abort: t.headSent}
+		return t.callerDisconnected()
 	case t.headSent:
 		return Result{Reason: ReasonShutdown, Abort: true}
 	case t.mayHaveRun:
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -396,8 +396,8 @@
 		b := Batch{Feed: feed, Head: head, Age: r.age(feed), Compacted: true}
 		switch {
 		case from < r.listedUpTo[feed]:
-			// Keys deleted since then are not known here, so send all that remain. A receiver
-			// that knows nothing yet must not take such a key from a third instance either.
+			// Keys deleted since then are not known here, so send all that remain; also to a
+			// receiver that knows nothing, which may get such a key from a third instance.
 			b.Records, b.Full = r.recordsFrom(feed, 0, false, now), true
 		case !known || from < head:
 			b.Records = r.recordsFrom(feed, from, known, now)
