relay: Merge groups of a zone that follow different readers sooner

Such an instance takes a larger share of the fleet's limits than its own, and gets news late.

Cause: at the start an instance knows only the seeds, and a seed lists only the members that contacted it before. Instances that contacted it early follow a reader of their own. That reader was corrected only by a member list, every sixth round and from a peer that knew no more, or after 5 s, once it took the seed for dead.

Mended: each message names the reader of the receiver's zone, with its age, and a reader contacts a member of its zone that sent it nothing for four exchange periods, where it waited until the member counted as dead.

TestInstanceCountAtStart makes 100 starts.

--- a/entry/relay/counts_test.go
+++ b/entry/relay/counts_test.go
@@ -55,6 +55,24 @@
 	})
 }
 
+// TestInstanceCountAtStart checks the number of instances 3 s after they all started at once.
+// Guards against instances of a zone that followed a reader of their own for longer: at the
+// start each instance knows only the seeds, and a seed lists only who contacted it before.
+func TestInstanceCountAtStart(t *testing.T) {
+	for range 100 {
+		inVirtualTime(t, func(ctx context.Context) {
+			const zones, perZone = 3, 8
+			f := newFleet(ctx, zones, perZone)
+			time.Sleep(3 * time.Second)
+			for _, r := range f.relays {
+				if n := r.InstanceCount(); n != zones*perZone {
+					t.Errorf("%s counts %d instances, want %d", r.Self().Name, n, zones*perZone)
+				}
+			}
+		})
+	}
+}
+
 // TestNonsense checks that contents of a message that make no sense are bounded, logged and
 // change nothing else.
 func TestNonsense(t *testing.T) {
--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -19,6 +19,9 @@
 	// instanceCountTimeout is how long a member that is not seen still counts in the
 	// division of fleet limits.
 	instanceCountTimeout = 30 * clock.Second
+	// followTimeout is how long a member of its zone may send a reader nothing before the reader
+	// contacts it: some exchange periods.
+	followTimeout = 4 * exchangePeriod
 	// forgetTimeout is the time without being seen after which a member is removed.
 	forgetTimeout = 2 * clock.Minute
 )
@@ -28,6 +31,8 @@
 	member Member
 	// lastSeen is the latest time at which any instance is known to have seen the peer.
 	lastSeen clock.Millis
+	// heardAt is when the peer's last message arrived here, or 0.
+	heardAt clock.Millis
 	// heads holds the feed heads that the peer last reported.
 	heads map[registry.Feed]registry.Offset
 	// receivedLoads is the load list received from the peer, sentLoads the one that it
@@ -117,12 +122,12 @@
 }
 
 // nextLost returns a member of this instance's zone that failed the last exchange, or that
-// was not seen for so long that it may follow another reader, and whose retry is due: the
-// one with the earliest retry time, or nil.
+// sent this instance nothing for so long that it may follow another reader, and whose retry
+// is due: the one with the earliest retry time, or nil.
 func (m *members) nextLost(now clock.Millis) *peer {
 	var oldest *peer
 	for _, p := range m.peers {
-		lost := p.failing || !p.leaving && !m.alive(p, now)
+		lost := p.failing || !p.leaving && now-p.heardAt > followTimeout
 		if lost && p.member.Zone == m.self.Zone && now >= p.retryAt && (oldest == nil || p.retryAt < oldest.retryAt) {
 			oldest = p
 		}
@@ -238,12 +243,27 @@
 			if z != zone && i >= membersPerOtherZone {
 				break
 			}
-			h := MemberEntry{Member: member}
-			if p := m.peers[member.Name]; p != nil {
-				h.Age = now - p.lastSeen
-			}
-			list = append(list, h)
+			list = append(list, m.entry(member, now))
 		}
 	}
 	return list
 }
+
+// readerEntry returns the reader of a zone, or nil if no live member of it is known.
+func (m *members) readerEntry(zone ticket.ZoneName, now clock.Millis) *MemberEntry {
+	ranked := m.ranked(zone, now)
+	if len(ranked) == 0 {
+		return nil
+	}
+	entry := m.entry(ranked[0], now)
+	return &entry
+}
+
+// entry returns the entry of a known member.
+func (m *members) entry(member Member, now clock.Millis) MemberEntry {
+	entry := MemberEntry{Member: member}
+	if p := m.peers[member.Name]; p != nil {
+		entry.Age = now - p.lastSeen
+	}
+	return entry
+}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -177,6 +177,7 @@
 	if withMembers {
 		m.Members = r.members.list(zone, now)
 	}
+	m.Reader = r.members.readerEntry(zone, now)
 	reader := r.members.ranked(m.From.Zone, now)[0].Name == m.From.Name
 	m.ZoneCounts = r.members.zoneCounts(reader, now)
 	r.addLoads(m, p, local, reader, now)
@@ -193,7 +194,11 @@
 func (r *Relay) merge(m *Message, now clock.Millis) {
 	var others loadlist.Loads
 	r.members.mu.Lock()
-	for _, entry := range m.Members {
+	entries := m.Members
+	if m.Reader != nil {
+		entries = append(entries, *m.Reader)
+	}
+	for _, entry := range entries {
 		if entry.Name != m.From.Name {
 			r.members.observe(entry, now)
 		}
@@ -203,6 +208,7 @@
 	tooMany := r.members.tooMany
 	r.members.tooMany = false
 	if p != nil {
+		p.heardAt = now
 		p.heads = maps.Clone(m.Heads)
 		if p.heads == nil {
 			p.heads = map[registry.Feed]registry.Offset{}
