Guard the attempts that the forwarder's test harness records

TestHeldOffEndpoint sends 20 requests at once, and the harness appended each attempt to one list without a lock. The race detector refused 13 of 20 runs of the test by itself; no trace showed the program.

--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -36,8 +37,10 @@
 	relay    *relay.Relay
 	// respond returns the response to each send; n counts from 1.
 	respond func(n int, a *Attempt) (*Response, error)
-	sent    []*Attempt
-	dead    map[routing.EndpointID]bool
+	// mu guards sent while requests are running.
+	mu   sync.Mutex
+	sent []*Attempt
+	dead map[routing.EndpointID]bool
 	// refusing holds endpoints that are alive and refuse connections.
 	refusing map[routing.EndpointID]bool
 	objects  map[string]registry.Object
@@ -102,8 +105,11 @@
 		Registry: h.registry, Relay: h.relay, Clock: c, Random: rand.New(rand.NewPCG(1, 2)), Logger: hclog.NewNullLogger(), Scope: tally.NoopScope,
 		Sender: Sender{
 			Send: func(_ context.Context, a *Attempt) (*Response, error) {
+				h.mu.Lock()
 				h.sent = append(h.sent, a)
-				return h.respond(len(h.sent), a)
+				n := len(h.sent)
+				h.mu.Unlock()
+				return h.respond(n, a)
 			},
 			Probe: func(_ context.Context, e *catalog.Endpoint) error {
 				switch {
