relay: Name the zone's reader only to instances that lack it

A message to or from the reader itself names nobody: both know it. In the usual round of a fleet, which is between a member and its reader or between readers, a message is then as large as before the field was added.

--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -52,7 +52,8 @@
 	From Member `json:"from"`
 	// Members is the sender's member list, if the receiver requested it.
 	Members []MemberEntry `json:"members,omitempty"`
-	// Reader is the reader of the receiver's zone as far as the sender knows.
+	// Reader is the reader of the receiver's zone as far as the sender knows, if it is
+	// neither the sender nor the receiver.
 	Reader *MemberEntry `json:"reader,omitempty"`
 	// WantsMembers requests the member list in the response.
 	WantsMembers bool `json:"asks,omitempty"`
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -177,7 +177,9 @@
 	if withMembers {
 		m.Members = r.members.list(zone, now)
 	}
-	m.Reader = r.members.readerEntry(zone, now)
+	if reader := r.members.readerEntry(zone, now); reader != nil && reader.Name != m.From.Name && reader.Name != to {
+		m.Reader = reader
+	}
 	reader := r.members.ranked(m.From.Zone, now)[0].Name == m.From.Name
 	m.ZoneCounts = r.members.zoneCounts(reader, now)
 	r.addLoads(m, p, local, reader, now)
