telemetry: Wait for the output in the tests of the log writer

Close gives up after 500 ms, as it should, and under the race detector beside load the 8 MB of lines take longer. The three tests that read the output after Close wait for the goroutine's end now; no check is changed.

--- a/link/telemetry/async_writer_test.go
+++ b/link/telemetry/async_writer_test.go
@@ -21,6 +21,13 @@
 	return s.buf.Write(p)
 }
 
+// closeDrained closes w and waits until the output has all lines: Close itself gives up after
+// closeTimeout.
+func closeDrained(w *AsyncWriter) {
+	w.Close()
+	<-w.done
+}
+
 func TestAsyncWriterNeverBlocks(t *testing.T) {
 	out := &blockedOutput{}
 	out.mu.Lock()
@@ -38,7 +45,7 @@
 		t.Fatal("Write blocks on the output")
 	}
 	out.mu.Unlock()
-	w.Close()
+	closeDrained(w)
 	if text := out.buf.String(); !strings.Contains(text, "log-lines-dropped: count=") || strings.Count(text, "line\n") < maxQueuedLines {
 		t.Errorf("%d bytes written, dropped lines reported: %v", len(text), strings.Contains(text, "log-lines-dropped"))
 	}
@@ -67,7 +74,7 @@
 		t.Errorf("%d queued lines hold %d bytes, want at most %d", maxQueuedLines, grown, (maxQueuedLines+1)*perLine)
 	}
 	out.mu.Unlock()
-	w.Close()
+	closeDrained(w)
 	first, _, _ := strings.Cut(out.buf.String(), "\n")
 	if len(first) != maxLineBytes-1 || !strings.HasPrefix(first, "repeat: after=777") || !strings.HasSuffix(first, "7...") {
 		t.Errorf("a line of %d bytes is written as %d", len(long), len(first)+1)
@@ -89,7 +96,7 @@
 		logger.Warn("request", "outcome", "stream-cut")
 	}
 	out.mu.Unlock()
-	w.Close()
+	closeDrained(w)
 	if got := strings.Count(out.buf.String(), "outcome=stream-cut"); got != failures {
 		t.Errorf("%d of %d failures are in the log", got, failures)
 	}
