--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -177,8 +177,8 @@
 	if withMembers {
 		m.Members = r.members.list(zone, now)
 	}
-	if reader := r.members.readerEntry(zone, now); reader != nil && reader.Name != m.From.Name && reader.Name != to {
-		m.Reader = reader
+	if entry := r.members.readerEntry(zone, now); entry != nil && entry.Name != m.From.Name && entry.Name != to {
+		m.Reader = entry
 	}
 	reader := r.members.ranked(m.From.Zone, now)[0].Name == m.From.Name
 	m.ZoneCounts = r.members.zoneCounts(reader, now)
