relay: Find a zone's reader without sorting the zone

Naming the zone's reader in messages ranked the zone a second time for each message, under the lock of the members. One function finds the reader now, and all callers that sorted a zone only for its first member call it; the order of ranks stands in one place.

Behavior is the same; no test is changed.

--- a/entry/relay/exchange_loop.go
+++ b/entry/relay/exchange_loop.go
@@ -65,7 +65,7 @@
 	m := r.members
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.ranked(m.self.Zone, now)[0].Name != m.self.Name {
+	if !m.isReader(now) {
 		return
 	}
 	if p := m.nextToReprobe(now); p != nil {
@@ -96,15 +96,15 @@
 			list = append(list, target{member.Name, member.Address})
 		}
 	}
-	ranked := m.ranked(m.self.Zone, now)
-	reader := ranked[0].Name == m.self.Name
+	zoneReader, _ := m.reader(m.self.Zone, now)
+	reader := zoneReader.Name == m.self.Name
 	if !reader {
-		add(ranked[0])
+		add(zoneReader)
 	}
 	if reader || age > staleViewAge {
 		for _, zone := range m.zones(now) {
-			if others := m.ranked(zone, now); len(others) > 0 {
-				add(others[0])
+			if other, ok := m.reader(zone, now); ok {
+				add(other)
 			}
 		}
 	}
--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -167,8 +167,8 @@
 	return n
 }
 
-// ranked returns the live members of a zone by rank. The first is the zone's reader.
-func (m *members) ranked(zone ticket.ZoneName, now clock.Millis) []Member {
+// live returns the live members of a zone in any order.
+func (m *members) live(zone ticket.ZoneName, now clock.Millis) []Member {
 	var list []Member
 	if m.self.Zone == zone {
 		list = append(list, m.self)
@@ -178,16 +178,42 @@
 			list = append(list, p.member)
 		}
 	}
+	return list
+}
+
+// compareRanks returns a comparison that puts the members of a zone in the order of their ranks.
+func compareRanks(zone ticket.ZoneName) func(a, b Member) int {
 	key := xxhash.Sum64String(string(zone))
-	slices.SortFunc(list, func(a, b Member) int {
+	return func(a, b Member) int {
 		if a.outranks(b, key) {
 			return -1
 		}
 		return 1
-	})
+	}
+}
+
+// ranked returns the live members of a zone by rank. The first is the zone's reader.
+func (m *members) ranked(zone ticket.ZoneName, now clock.Millis) []Member {
+	list := m.live(zone, now)
+	slices.SortFunc(list, compareRanks(zone))
 	return list
 }
 
+// reader returns the reader of a zone, and false if no live member of the zone is known.
+func (m *members) reader(zone ticket.ZoneName, now clock.Millis) (Member, bool) {
+	list := m.live(zone, now)
+	if len(list) == 0 {
+		return Member{}, false
+	}
+	return slices.MinFunc(list, compareRanks(zone)), true
+}
+
+// isReader reports whether this instance is the reader of its zone.
+func (m *members) isReader(now clock.Millis) bool {
+	reader, _ := m.reader(m.self.Zone, now)
+	return reader.Name == m.self.Name
+}
+
 // rank returns this instance's rank in its zone.
 func (m *members) rank(now clock.Millis) int {
 	m.mu.Lock()
@@ -251,11 +277,11 @@
 
 // readerEntry returns the reader of a zone, or nil if no live member of it is known.
 func (m *members) readerEntry(zone ticket.ZoneName, now clock.Millis) *MemberEntry {
-	ranked := m.ranked(zone, now)
-	if len(ranked) == 0 {
+	reader, ok := m.reader(zone, now)
+	if !ok {
 		return nil
 	}
-	entry := m.entry(ranked[0], now)
+	entry := m.entry(reader, now)
 	return &entry
 }
 
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -180,7 +180,7 @@
 	if entry := r.members.readerEntry(zone, now); entry != nil && entry.Name != m.From.Name && entry.Name != to {
 		m.Reader = entry
 	}
-	reader := r.members.ranked(m.From.Zone, now)[0].Name == m.From.Name
+	reader := r.members.isReader(now)
 	m.ZoneCounts = r.members.zoneCounts(reader, now)
 	r.addLoads(m, p, local, reader, now)
 	r.members.mu.Unlock()
