forward: Split the endpoint tracker into types with one job each

endpoints.go kept fifteen maps under one lock. It is now the tracker (states by run and view sync, zone reachability, leaving and held-off endpoints, failure shares, pools with run times and retry budgets), each part a type without a lock of its own, and three tables that need nothing of the tracker and have their own lock: delays, paces and request sizes.

The tracker no longer knows the Kind of an attempt's error, only how far it got (contact), and takes the retry limits as a function. Log lines and the order of random draws are the same.

Tests that reached into the tracker use its methods. What they assert is the same; two are a little stricter: - TestUnreachableEndpointsAreSkipped reads the budget with the fleet's slack. Before, the first reading had no slack and was 0. - TestRetryIsChargedWhenStreamResumes takes the retries that are left instead of counting on a copy, against the configured slack. TestRefusedConnectionsDoNotBackOffZone gets the states that it marks by choosing them.

go vet and the tests of entry/..., loadtest/... and platform/... without the soak pass.

--- a/entry/forward/escalate.go
+++ b/entry/forward/escalate.go
@@ -16,8 +16,8 @@
 	larger := ladder[len(ladder)-1]
 	q, next := t.placementQuery()
 	q.Tried, q.Model, q.RelativeCost = nil, larger, t.service.Engine.RelativeCost(larger)
-	choice := t.endpoints.peek(next.view, t.service, q)
-	if choice.State == nil || t.runs >= t.route.Attempts || !t.endpoints.hasSpareRetry(t.service.Name) {
+	choice := t.endpoints.Peek(next.view, t.service, q)
+	if choice.State == nil || t.runs >= t.route.Attempts || t.endpoints.RetryBudgetLeft(t.service.Name) <= retryReserve {
 		return false
 	}
 	now := t.clock.Mono()
@@ -28,18 +28,21 @@
 	}
 	doubt := cascade.EscalationQuery{
 		Confidence:         response.Confidence,
-		Value:              cascade.AnswerValue(int(t.route.Rank), t.size(), t.endpoints.meanSize(t.route.Name)),
+		Value:              cascade.AnswerValue(int(t.route.Rank), t.size(), t.sizes.Mean(t.route.Name)),
 		Price:              cascade.RequestPrice(t.service.Engine.Cost(larger), placement.Tokens(t.request.PromptParts), t.request.MaxTokens),
 		Utilization:        1 - float64(choice.FreeSlots)/float64(max(1, choice.Slots)),
 		FirstTokenGoal:     t.route.FirstByteGoal,
 		FirstTokenBudget:   min(t.deadline, t.request.ReceivedAt+t.route.FirstByteGoal) - now,
-		ExpectedFirstToken: clock.Millis(float64(t.endpoints.expectedDelay(key)) * t.relativeReadTime()),
+		ExpectedFirstToken: clock.Millis(float64(t.delays.Expected(key)) * t.relativeReadTime()),
 		CompletionBudget:   t.deadline - now,
-		ExpectedCompletion: t.endpoints.expectedDelay(key) + clock.Millis(float64(events)*t.endpoints.meanPace(larger)),
+		ExpectedCompletion: t.delays.Expected(key) + clock.Millis(float64(events)*t.paces.Mean(larger)),
 	}
 	return doubt.Worthwhile()
 }
 
+// retryReserve is the share of the retry budget that is reserved for retries after failures.
+const retryReserve = 0.2
+
 // escalate discards a low-confidence response in favor of a larger model's. It first
 // reserves an endpoint for that; if there is none, it keeps the response and returns
 // false.
@@ -59,13 +62,19 @@
 	r.close()
 	t.assignment = escalated
 	t.logger.Info("escalate", "request", t.request.ID, "endpoint", r.endpoint.ID, "model", model, "confidence", r.response.Confidence)
-	t.endpoints.takeRetry(t.service.Name)
+	t.endpoints.TakeRetry(t.service.Name)
 	return true
 }
 
+// size returns the weighted number of tokens by which the value of a request's response
+// is estimated.
+func (t *task) size() float64 {
+	return weightedSize(float64(placement.Tokens(t.request.PromptParts)), float64(t.request.MaxTokens))
+}
+
 // relativeReadTime is the time to read this prompt relative to the route's mean.
 func (t *task) relativeReadTime() float64 {
-	mean := t.endpoints.meanSize(t.route.Name)
+	mean := t.sizes.Mean(t.route.Name)
 	if mean <= 0 {
 		return 1
 	}
--- a/entry/forward/evidence.go
+++ b/entry/forward/evidence.go
@@ -33,7 +33,7 @@
 	}
 	r.outcomeRecorded = true
 	t := r.task
-	t.endpoints.recordOutcome(r.state, t.route, t.service.Name, failed)
+	t.endpoints.RecordOutcome(r.state, t.route.Name, t.service.Name, failed)
 	if r.response != nil { // A broken connection says more about the endpoint than about its release.
 		r.countEvidence(t.route.Name, !failed && !(r.slow && t.route.Stream))
 		if !t.route.Stream && (r.delay == delayUsual || r.delay == delaySlow) {
@@ -98,7 +98,7 @@
 	if t.pastCanary() {
 		return t.isSlowPastCanary(r, elapsed, events)
 	}
-	return events >= minPaceEvents && t.endpoints.isSlowPace(r.key.model, elapsed, events, slowPaceFactor)
+	return events >= minPaceEvents && t.paces.IsSlow(r.key.Model, elapsed, events, slowPaceFactor)
 }
 
 // isSlowPastCanary reports whether a stream is slow even for an endpoint under high
@@ -106,7 +106,7 @@
 func (t *task) isSlowPastCanary(r *run, elapsed clock.Millis, events int) bool {
 	// If the first events alone take longer than paceSampleEvents events may, the
 	// stream is slow already.
-	return t.endpoints.isSlowPace(r.key.model, elapsed, max(events, paceSampleEvents), pastCanaryPaceFactor)
+	return t.paces.IsSlow(r.key.Model, elapsed, max(events, paceSampleEvents), pastCanaryPaceFactor)
 }
 
 // Pseudo-routes for further evidence on a release.
@@ -156,6 +156,11 @@
 )
 
 const (
+	// minPaceEvents is how many events it takes to judge whether a stream is slow.
+	minPaceEvents = 3
+	// pastCanaryPaceFactor replaces slowPaceFactor after the canary phase, when the new
+	// endpoints take a high load without cached prompts.
+	pastCanaryPaceFactor = 4.0
 	// paceSampleEvents is how many events it takes to measure a stream's pace.
 	paceSampleEvents = 6
 	// minComparedEvents is how many it takes to compare a stream with others under a
@@ -175,7 +180,7 @@
 		r.countEvidence(PostCanaryPaceRoute, !t.isSlowPastCanary(r, elapsed, events))
 		return
 	}
-	if slower, known := t.endpoints.comparePace(r.state, r.key.model, elapsed, events, t.arm != ArmNew); known {
+	if slower, known := t.paces.Compare(r.key.Model, elapsed, events, t.endpoints.InFlightAt(r.state), t.arm != ArmNew); known {
 		r.countEvidence(CanaryPaceRoute, !slower)
 	}
 }
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -54,7 +54,10 @@
 	limits    *atomic.Pointer[Limits]
 	clock     *clock.Clock
 	logger    hclog.Logger
-	endpoints *endpointTracker
+	endpoints *tracker
+	delays    *delays
+	paces     *paces
+	sizes     *sizes
 	releases  *releaseRouter
 }
 
@@ -64,17 +67,25 @@
 	limits := &atomic.Pointer[Limits]{}
 	limits.Store(l)
 	f := &Forwarder{
-		deps:      deps,
-		limits:    limits,
-		clock:     deps.Clock,
-		logger:    logger,
-		endpoints: newEndpointTracker(deps.Clock, logger, limits, deps.Random),
-		releases:  newReleaseRouter(deps.Clock, limits, deps.Relay, logger),
-	}
-	f.endpoints.instances = deps.Relay.InstanceCount
-	deps.Relay.LocalLoads = f.endpoints.localLoads
-	deps.Relay.OnRemoteLoads = f.endpoints.setPeerLoads
-	deps.Relay.OnLeaving = f.endpoints.markLeaving
+		deps:   deps,
+		limits: limits,
+		clock:  deps.Clock,
+		logger: logger,
+		endpoints: newTracker(trackerDeps{
+			Clock: deps.Clock, Random: deps.Random, Logger: logger, Instances: deps.Relay.InstanceCount,
+			RetryLimits: func() retryLimits {
+				l := limits.Load()
+				return retryLimits{Ratio: l.RetryRatio, Slack: l.RetrySlack, Window: l.RetryWindow}
+			},
+		}),
+		delays:   newDelays(),
+		paces:    newPaces(),
+		sizes:    newSizes(),
+		releases: newReleaseRouter(deps.Clock, limits, deps.Relay, logger),
+	}
+	deps.Relay.LocalLoads = f.endpoints.LocalLoads
+	deps.Relay.OnRemoteLoads = f.endpoints.SetPeerLoads
+	deps.Relay.OnLeaving = func(e relay.LeavingEndpoint, source string) { f.endpoints.MarkLeaving(endpointRun(e), source) }
 	return f
 }
 
@@ -182,7 +193,7 @@
 			args = append(args, "left-ms", int64(max(0, t.deadline-t.clock.Mono())))
 		}
 		if t.retryDenied != "" {
-			args = append(args, "denied", t.retryDenied, "budget", math.Round(100*t.endpoints.retryBudgetLeft(t.service.Name))/100)
+			args = append(args, "denied", t.retryDenied, "budget", math.Round(100*t.endpoints.RetryBudgetLeft(t.service.Name))/100)
 		}
 		t.logger.Warn("request", args...)
 		return
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -542,13 +542,13 @@
 			}
 			return plainResponse(200), nil
 		}
-		before := h.endpoints.pool("plain").retryBudget.Remaining(h.clock.Mono())
+		before := h.endpoints.RetryBudgetLeft("plain")
 		for _, path := range []string{"/once/x", "/safe/x"} {
 			if c := h.serve(t.Context(), path, nil); c.Status != 200 {
 				t.Errorf("%s: status %d after %d sends", path, c.Status, len(h.sent))
 			}
 		}
-		if left := h.endpoints.pool("plain").retryBudget.Remaining(h.clock.Mono()); left < before {
+		if left := h.endpoints.RetryBudgetLeft("plain"); left < before {
 			t.Errorf("unsent attempts were charged to the retry budget: %.2f left of %.2f", left, before)
 		}
 	})
@@ -865,7 +865,7 @@
 			}
 		}
 	}
-	h.endpoints.setPeerLoads(loadlist.Loads{InFlight: counts})
+	h.endpoints.SetPeerLoads(loadlist.Loads{InFlight: counts})
 }
 
 // TestNextOrderAfterRollback orders a third release while endpoints of the second,
@@ -1007,7 +1007,7 @@
 		if c := h.serve(t.Context(), "/note/x", nil); c.Reason != ReasonServed {
 			t.Fatalf("%+v", c.Result)
 		}
-		h.endpoints.setPeerLoads(loadlist.Loads{InFlight: loadlist.Counts{"new": 6000}})
+		h.endpoints.SetPeerLoads(loadlist.Loads{InFlight: loadlist.Counts{"new": 6000}})
 		c := h.serve(t.Context(), "/note/x", func(r *Request) { r.ID = "r2" })
 		if c.Reason != ReasonEndpointsFull || c.RetryAfter == 0 || c.RetryAfter == clock.Second {
 			t.Errorf("%+v, want %s", c.Result, ReasonEndpointsFull)
--- /dev/null
+++ b/entry/forward/loads_report.go
@@ -0,0 +1,31 @@
+package forward
+
+import (
+	"foxtailbridge/policy/catalog"
+	"foxtailbridge/policy/rollout"
+	"foxtailbridge/policy/routing"
+	"foxtailbridge/policy/ticket"
+)
+
+// InFlight returns the in-flight requests of all instances at each endpoint of a
+// release.
+func (f *Forwarder) InFlight(service ticket.ServiceName, release catalog.Release) map[routing.EndpointID]int {
+	return f.endpoints.InFlight(service, release)
+}
+
+// RouteLoads returns what this instance knows of the requests on a service's routes.
+func (f *Forwarder) RouteLoads(name ticket.ServiceName) []rollout.RouteLoad {
+	config := f.deps.Registry.View().Config
+	if config == nil || config.Services[name] == nil {
+		return nil
+	}
+	engine, pace := config.Services[name].Engine, 0.0
+	if engine != nil {
+		pace = f.paces.Mean(engine.LargestModel())
+	}
+	var list []rollout.RouteLoad
+	for _, route := range config.RoutesOf(name) {
+		list = append(list, f.sizes.Load(route, engine, pace))
+	}
+	return list
+}
--- a/entry/forward/notices_test.go
+++ b/entry/forward/notices_test.go
@@ -51,7 +51,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var log bytes.Buffer
 		h := newHarness()
-		h.endpoints.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+		h.endpoints.deps.Logger = hclog.New(&hclog.LoggerOptions{Output: &log})
 		var leaving routing.EndpointID
 		h.respond = func(n int, a *Attempt) (*Response, error) {
 			if n == 1 {
@@ -135,7 +135,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var log bytes.Buffer
 		h := newHarness()
-		h.endpoints.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+		h.endpoints.deps.Logger = hclog.New(&hclog.LoggerOptions{Output: &log})
 		holding := true
 		h.respond = func(_ int, a *Attempt) (*Response, error) {
 			if holding {
--- a/entry/forward/pace.go
+++ b/entry/forward/paces.go
@@ -3,12 +3,81 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/placement"
 	"foxtailbridge/policy/ticket"
 )
 
+// paces holds the usual time between the stream events of each model. Its methods may be
+// called concurrently.
+type paces struct {
+	mu      sync.Mutex
+	byModel map[ticket.ModelName]*paceBaseline
+}
+
+// newPaces returns a table that knows no paces.
+func newPaces() *paces { return &paces{byModel: map[ticket.ModelName]*paceBaseline{}} }
+
+const (
+	// A stream is slow if its mean time between events exceeds slowPaceFactor times the
+	// usual plus slowPaceMargin milliseconds.
+	slowPaceFactor = 2.0
+	slowPaceMargin = 6.0
+)
+
+// baseline returns a model's baseline; the caller holds the lock.
+func (p *paces) baseline(model ticket.ModelName) *paceBaseline {
+	b := p.byModel[model]
+	if b == nil {
+		b = &paceBaseline{}
+		p.byModel[model] = b
+	}
+	return b
+}
+
+// Record adds the time that a stream of the baseline release took for its events.
+func (p *paces) Record(model ticket.ModelName, elapsed clock.Millis, events int) {
+	if events < 2 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	updateAverage(&p.baseline(model).mean, meanGap(elapsed, events), paceWindow)
+}
+
+// Compare reports whether a stream's events were slow for the number of requests in flight at
+// its endpoint; known is false until there are enough samples of the baseline release.
+func (p *paces) Compare(model ticket.ModelName, elapsed clock.Millis, events, inFlight int, baseline bool) (slower, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.baseline(model).compare(meanGap(elapsed, events), inFlight, baseline)
+}
+
+// IsSlow reports whether a stream exceeds factor times the usual time between events.
+func (p *paces) IsSlow(model ticket.ModelName, elapsed clock.Millis, events int, factor float64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.byModel[model]
+	return b != nil && b.mean.Count >= minBaselineRuns && meanGap(elapsed, events) > factor*b.mean.Mean+slowPaceMargin
+}
+
+// Mean returns the usual time between a model's stream events in milliseconds, or 0.
+func (p *paces) Mean(model ticket.ModelName) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b := p.byModel[model]; b != nil {
+		return b.mean.Mean
+	}
+	return 0
+}
+
+// meanGap returns the mean time between a stream's events.
+func meanGap(elapsed clock.Millis, events int) float64 {
+	return float64(elapsed) / float64(events-1)
+}
+
 // paceBaseline is the usual pace of a model's streams, that is, the time between their
 // events.
 type paceBaseline struct {
@@ -83,62 +152,3 @@
 	slices.SortFunc(latest, func(a, b paceSample) int { return cmp.Compare(a.meanGap, b.meanGap) })
 	return min(median, latest[int(fastestShare*float64(len(latest)))].meanGap)
 }
-
-func (e *endpointTracker) paceBaseline(model ticket.ModelName) *paceBaseline {
-	p := e.paces[model]
-	if p == nil {
-		p = &paceBaseline{}
-		e.paces[model] = p
-	}
-	return p
-}
-
-// recordPace adds the time that a stream of the baseline release took for its events.
-func (e *endpointTracker) recordPace(model ticket.ModelName, elapsed clock.Millis, events int) {
-	if events < 2 {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	updateAverage(&e.paceBaseline(model).mean, float64(elapsed)/float64(events-1), paceWindow)
-}
-
-// comparePace reports whether a stream's events were slow for the load of its endpoint;
-// known is false until there are enough samples of the baseline release.
-func (e *endpointTracker) comparePace(s *placement.State, model ticket.ModelName, elapsed clock.Millis, events int, baseline bool) (slower, known bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.paceBaseline(model).compare(float64(elapsed)/float64(events-1), s.InFlight(e.clock.Mono()), baseline)
-}
-
-const (
-	// A stream is slow if its mean time between events exceeds slowPaceFactor times the
-	// usual plus slowPaceMargin milliseconds. It takes minPaceEvents events to judge
-	// that.
-	slowPaceFactor = 2.0
-	slowPaceMargin = 6.0
-	minPaceEvents  = 3
-	// pastCanaryPaceFactor replaces slowPaceFactor after the canary phase, when the new
-	// endpoints take a high load without cached prompts.
-	pastCanaryPaceFactor = 4.0
-)
-
-// isSlowPace reports whether a stream exceeds factor times the usual time between
-// events.
-func (e *endpointTracker) isSlowPace(model ticket.ModelName, elapsed clock.Millis, events int, factor float64) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	p := e.paces[model]
-	return p != nil && p.mean.Count >= minBaselineRuns && float64(elapsed)/float64(events-1) > factor*p.mean.Mean+slowPaceMargin
-}
-
-// meanPace returns the usual time between a model's stream events in milliseconds, or
-// 0.
-func (e *endpointTracker) meanPace(model ticket.ModelName) float64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if p := e.paces[model]; p != nil {
-		return p.mean.Mean
-	}
-	return 0
-}
--- a/entry/forward/place.go
+++ b/entry/forward/place.go
@@ -36,12 +36,12 @@
 	backOffFirst := t.headSent && t.rejections >= t.route.Attempts+extraSends
 	for waited := clock.Millis(0); ; waited += t.resumeBackoff {
 		choice := placement.Choice{Reason: reasonRetryBudget}
-		if !backOffFirst && (!t.chargeRetry || !t.headSent || t.endpoints.hasRetry(t.service.Name)) {
+		if !backOffFirst && (!t.chargeRetry || !t.headSent || t.endpoints.HasRetry(t.service.Name)) {
 			choice = t.findEndpoint()
 		}
 		if choice.State != nil && t.chargeRetry {
 			t.chargeRetry = false
-			t.endpoints.takeRetry(t.service.Name)
+			t.endpoints.TakeRetry(t.service.Name)
 		}
 		retired := choice.Considered == 0 && choice.Reason != reasonRetryBudget && t.releases.releaseRetired(t.view, t.service.Name, t.boundRelease)
 		if choice.State != nil || !t.headSent || t.outOfTime() || retired || choice.Reason == reasonQuarantined {
--- /dev/null
+++ b/entry/forward/pool.go
@@ -0,0 +1,105 @@
+package forward
+
+import (
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/placement"
+	"foxtailbridge/policy/share"
+)
+
+// pool holds what this instance knows about one service's endpoints.
+type pool struct {
+	states []*placement.State
+	// failures is the moving share of failed runs over all endpoints.
+	failures placement.MovingAverage
+	retries  retryBudget
+	times    runTimes
+}
+
+const (
+	// failureWindow is how many runs the share of failed runs of a pool covers.
+	failureWindow = 200
+	// An endpoint counts as failing too often if its share of failures exceeds twice its
+	// pool's by minExcessFailures, over at least minExcessRuns runs.
+	minExcessFailures = 0.2
+	minExcessRuns     = 5
+)
+
+// addOutcome counts a run for its endpoint and the pool.
+func (p *pool) addOutcome(s *placement.State, failed bool) {
+	value := outcomeValue(failed)
+	s.FailureRate.Add(value)
+	updateAverage(&p.failures, value, failureWindow)
+	s.ExcessFailureRate = 0
+	if s.FailureRate.Count >= minExcessRuns {
+		s.ExcessFailureRate = max(0, s.FailureRate.Mean-2*p.failures.Mean-minExcessFailures)
+	}
+}
+
+// runTimes holds the mean times of a service's runs.
+type runTimes struct {
+	// all is the mean time of a run in milliseconds. packable is the same with the time of
+	// runs that may not be packed taken as 0.
+	all, packable placement.MovingAverage
+}
+
+const (
+	// runTimeWindow is how many runs the mean times cover.
+	runTimeWindow = 200
+	// assumedPackableShare is the packable share before any run has ended.
+	assumedPackableShare = 0.6
+	// assumedRunTime is the mean time of a run before any has ended.
+	assumedRunTime = 500 * clock.Millis(1)
+)
+
+// add counts the time of a run that has ended.
+func (r *runTimes) add(took clock.Millis, packable bool) {
+	updateAverage(&r.all, float64(took), runTimeWindow)
+	if !packable {
+		took = 0
+	}
+	updateAverage(&r.packable, float64(took), runTimeWindow)
+}
+
+// mean returns the mean time of a run.
+func (r *runTimes) mean() clock.Millis {
+	if r.all.Count == 0 {
+		return assumedRunTime
+	}
+	return clock.Millis(r.all.Mean)
+}
+
+// packableShare returns the share of the in-flight requests that may be packed.
+func (r *runTimes) packableShare() float64 {
+	if r.all.Mean <= 0 {
+		return assumedPackableShare
+	}
+	return r.packable.Mean / r.all.Mean
+}
+
+// retryLimits bound a service's retries on all instances together, within Window: a share of
+// its requests, plus a fixed number.
+type retryLimits struct {
+	Ratio  float64
+	Slack  float64
+	Window clock.Millis
+}
+
+// retryBudget is this instance's part of the retry budget of a service.
+type retryBudget struct {
+	share.RetryBudget
+}
+
+// retryRatioShare is share.FleetShare for a limit proportional to the number of requests.
+// The requests of all instances add up exactly and only the windows differ, so the
+// margin is smaller.
+const retryRatioShare = 0.9
+
+func newRetryBudget(limits retryLimits, rounding float64) retryBudget {
+	return retryBudget{share.RetryBudget{Ratio: limits.Ratio * retryRatioShare, WindowLength: limits.Window, Rounding: rounding}}
+}
+
+// withSlack returns the budget with this instance's current part of the fleet's slack.
+func (b *retryBudget) withSlack(limits retryLimits, instances int) *share.RetryBudget {
+	b.Slack = limits.Slack * share.FleetShare / float64(max(1, instances))
+	return &b.RetryBudget
+}
--- a/entry/forward/resume_limits_test.go
+++ b/entry/forward/resume_limits_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/share"
 )
 
 // maxCallerGap is how long callers wait for the next event of the route note: the
@@ -239,15 +240,12 @@
 		retries := -1
 		h.respond = func(n int, a *Attempt) (*Response, error) {
 			if n > 1 {
-				h.endpoints.mu.Lock()
-				defer h.endpoints.mu.Unlock()
 				// No request arrived in the window, so only this retry is charged.
-				r := h.endpoints.retryBudget("engines")
-				retries = 0
-				for q := *r; q.Available(h.clock.Mono()); retries++ {
-					q.Take(h.clock.Mono())
+				left := 0
+				for h.endpoints.TakeRetry("engines") {
+					left++
 				}
-				retries = int(r.Slack) - retries
+				retries = int(h.limits.Load().RetrySlack*share.FleetShare) - left
 				return streamResponse(90, io.EOF, "2"), nil
 			}
 			return breakAfterEvent("1", func() error {
--- a/entry/forward/resume_test.go
+++ b/entry/forward/resume_test.go
@@ -116,7 +116,7 @@
 		}, nil, 3 * clock.Second},
 		{"the budget is used up", func(h *harness, a *Attempt) error {
 			h.dead[a.Endpoint.ID] = true
-			for h.endpoints.takeRetry("engines") {
+			for h.endpoints.TakeRetry("engines") {
 			}
 			return failWith(KindBroken)
 		}, nil, 11 * clock.Second},
@@ -247,14 +247,15 @@
 		t.Run(string(row.kind), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				h := newHarness()
-				h.endpoints.peek(h.registry.View(), &catalog.Service{Name: "engines"}, &placement.Query{Accept: func(*catalog.Endpoint) bool { return true }})
-				for _, s := range h.endpoints.pools["engines"].states[:zoneFailureThreshold] {
-					h.endpoints.markUnreachable(s, row.kind)
+				service, q := &catalog.Service{Name: "engines"}, &placement.Query{Zone: "b", MaxUtilization: 1, Accept: func(*catalog.Endpoint) bool { return true }}
+				for range zoneFailureThreshold {
+					choice := h.endpoints.Peek(h.registry.View(), service, q)
+					q.Tried = append(q.Tried, choice.State)
 				}
-				q := &placement.Query{Zone: "b"}
-				h.endpoints.mu.Lock()
-				defer h.endpoints.mu.Unlock()
-				h.endpoints.prepareQuery(h.registry.View(), &catalog.Service{Name: "engines"}, q)
+				for _, s := range q.Tried {
+					h.markUnreachable(s, row.kind)
+				}
+				h.endpoints.Peek(h.registry.View(), service, q)
 				if avoided := q.ZoneUnreachable("a"); avoided != row.backoff {
 					t.Errorf("zone avoided: %v, want %v", avoided, row.backoff)
 				}
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -14,7 +14,7 @@
 	task  *task
 	state *placement.State
 	// endpoint is the view's entry when the endpoint was chosen. state.Endpoint changes
-	// with the view, guarded by the endpointTracker's lock.
+	// with the view, guarded by the tracker's lock.
 	endpoint *catalog.Endpoint
 	response *Response
 	key      delayKey
@@ -49,11 +49,15 @@
 func (r *run) recordHead() {
 	t := r.task
 	now := t.clock.Mono()
-	t.endpoints.promptRead(r.state, t.request.PromptParts, r.key.model, &r.prefillTokens)
+	t.endpoints.PromptRead(r.state, t.request.PromptParts, r.key.Model, r.prefillTokens)
+	r.prefillTokens = 0
 	warmingUp := now-r.state.FirstSeen < warmupSpan
-	r.usualDelay = t.endpoints.expectedDelay(r.key)
-	slow, known := t.endpoints.recordDelay(r, now-r.sentAt, t.arm != ArmNew && !warmingUp)
-	r.delay = t.delayVerdict(slow, known, warmingUp)
+	r.usualDelay = t.delays.Expected(r.key)
+	judgement := t.delays.Judge(t.route, r.key.Model, now-r.sentAt, r.response.Load, t.arm != ArmNew && !warmingUp)
+	if judgement.MeanKnown {
+		t.endpoints.RecordLatency(r.state, judgement.Ratio)
+	}
+	r.delay = t.delayVerdict(judgement.Slow, judgement.Known, warmingUp)
 	r.slow = r.delay == delaySlow
 	t.lastAnswered = r
 }
@@ -98,7 +102,8 @@
 		return
 	}
 	r.ended = true
-	r.task.endpoints.requestEnded(r)
+	r.task.endpoints.RunEnded(endedRun{State: r.state, Service: r.task.service.Name, SentAt: r.sentAt, PrefillTokens: r.prefillTokens, Packable: r.packable})
+	r.prefillTokens = 0
 }
 
 // close also ends the attempt at the endpoint.
@@ -123,3 +128,15 @@
 	t.logger.Info("probe", append(args, "kind", kind, "error", err)...)
 	return kind
 }
+
+// markUnreachable records that an endpoint could not be reached or timed out.
+func (f *Forwarder) markUnreachable(s *placement.State, kind Kind) {
+	c := contactLost
+	switch kind {
+	case KindNotSent:
+		c = contactNone
+	case KindRefused:
+		c = contactRefused
+	}
+	f.endpoints.MarkUnreachable(s, c, string(kind))
+}
--- a/entry/forward/sizes.go
+++ b/entry/forward/sizes.go
@@ -1,13 +1,23 @@
 package forward
 
 import (
+	"sync"
+
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/placement"
 	"foxtailbridge/policy/rollout"
-	"foxtailbridge/policy/ticket"
 )
 
+// sizes holds the mean size of each route's requests. Its methods may be called concurrently.
+type sizes struct {
+	mu      sync.Mutex
+	byRoute map[catalog.RouteName]*routeSize
+}
+
+// newSizes returns a table that knows no requests.
+func newSizes() *sizes { return &sizes{byRoute: map[catalog.RouteName]*routeSize{}} }
+
 // routeSize is the mean size of a route's requests, in tokens.
 type routeSize struct {
 	prompt, output placement.MovingAverage
@@ -21,60 +31,41 @@
 	outputTokenWeight = 10
 )
 
-// weightedSize is the size by which the value of a response is estimated.
+// weightedSize returns the size, in weighted tokens, by which the value of a response is
+// estimated.
 func weightedSize(promptTokens, outputTokens float64) float64 {
 	return promptTokens + outputTokenWeight*outputTokens
 }
 
-// size returns the weighted number of tokens by which the value of a request's response
-// is estimated.
-func (t *task) size() float64 {
-	return weightedSize(float64(placement.Tokens(t.request.PromptParts)), float64(t.request.MaxTokens))
-}
-
-// countRequest counts a request of a service.
-func (e *endpointTracker) countRequest(service ticket.ServiceName, route catalog.RouteName, promptTokens, outputTokens int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.pool(service).retryBudget.AddRequest(e.clock.Mono())
-	size := e.sizes[route]
+// Add counts a request.
+func (s *sizes) Add(route catalog.RouteName, promptTokens, outputTokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	size := s.byRoute[route]
 	if size == nil {
 		size = &routeSize{}
-		e.sizes[route] = size
+		s.byRoute[route] = size
 	}
 	updateAverage(&size.prompt, float64(promptTokens), sizeWindow)
 	updateAverage(&size.output, float64(outputTokens), sizeWindow)
 }
 
-// meanSize returns the mean size of a route's requests.
-func (e *endpointTracker) meanSize(route catalog.RouteName) float64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if size := e.sizes[route]; size != nil {
+// Mean returns the mean weighted size of a route's requests, or 0.
+func (s *sizes) Mean(route catalog.RouteName) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if size := s.byRoute[route]; size != nil {
 		return weightedSize(size.prompt.Mean, size.output.Mean)
 	}
 	return 0
 }
 
-// RouteLoads returns what this instance knows of the requests on a service's routes.
-func (f *Forwarder) RouteLoads(name ticket.ServiceName) []rollout.RouteLoad {
-	config := f.deps.Registry.View().Config
-	if config == nil || config.Services[name] == nil {
-		return nil
-	}
-	var list []rollout.RouteLoad
-	for _, route := range config.RoutesOf(name) {
-		list = append(list, f.endpoints.routeLoad(route, config.Services[name].Engine))
-	}
-	return list
-}
-
-// routeLoad returns what this instance knows of a route's requests; engine is nil for a plain
-// service.
-func (e *endpointTracker) routeLoad(route catalog.RouteName, engine *catalog.Engine) rollout.RouteLoad {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	size := e.sizes[route]
+// Load returns what is known of a route's requests. The engine is nil for a plain service;
+// pace is the usual time between the stream events of its largest model.
+func (s *sizes) Load(route catalog.RouteName, engine *catalog.Engine, pace float64) rollout.RouteLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	size := s.byRoute[route]
 	if size == nil {
 		size = &routeSize{}
 	}
@@ -83,8 +74,6 @@
 		return load
 	}
 	load.PrefillTime = placement.PrefillTime(size.prompt.Mean)
-	if p := e.paces[engine.LargestModel()]; p != nil {
-		load.RunTime = clock.Millis(p.mean.Mean * size.output.Mean / float64(max(1, engine.TokensPerEvent)))
-	}
+	load.RunTime = clock.Millis(pace * size.output.Mean / float64(max(1, engine.TokensPerEvent)))
 	return load
 }
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -129,8 +129,8 @@
 	if t.request.AnyModel && len(t.route.Models) > 0 {
 		t.model = t.route.Models[0]
 	}
-	t.homes = t.endpoints.countPart(t.service.Name, t.request.PromptParts)
-	t.endpoints.countRequest(t.service.Name, t.route.Name, placement.Tokens(t.request.PromptParts), t.request.MaxTokens)
+	t.homes = t.endpoints.CountRequest(t.service.Name, t.request.PromptParts)
+	t.sizes.Add(t.route.Name, placement.Tokens(t.request.PromptParts), t.request.MaxTokens)
 	for {
 		choice := t.nextEndpoint(ctx)
 		if choice.State == nil {
@@ -165,7 +165,7 @@
 		pack = &placement.Pack{Key: string(next.progress.order.Target)}
 		if next.progress.schedule.LightLoad == nil {
 			share := next.progress.schedule.Share(t.route.Name, next.progress.elapsed, t.limits.Load().Exposure)
-			pack.LoadShare = share * t.endpoints.packableShare(t.service.Name)
+			pack.LoadShare = share * t.endpoints.PackableShare(t.service.Name)
 		}
 	}
 	return &placement.Query{
@@ -236,7 +236,7 @@
 				q.Model = t.route.Models[len(t.route.Models)-1]
 				q.RelativeCost = t.service.Engine.RelativeCost(q.Model)
 			}
-			choice := t.endpoints.choose(t.view, t.service, q)
+			choice := t.endpoints.Choose(t.view, t.service, q)
 			if choice.KeptAway > 0 && !keptAway {
 				keptAway = true
 				t.deps.Scope.Counter("kept_away").Inc(1)
@@ -353,7 +353,7 @@
 	if choice.Slots == 0 {
 		return clock.Second
 	}
-	usualDelay := t.endpoints.expectedDelay(delayKey{t.route.Name, t.model})
+	usualDelay := t.delays.Expected(delayKey{t.route.Name, t.model})
 	queueRatio := float64(choice.Waiting+1) / float64(choice.Slots)
 	return min(maxRetryAfter, max(minRetryAfter, minRetryAfter+clock.Millis(queueRatio*float64(max(usualDelay, 100)))))
 }
@@ -383,7 +383,7 @@
 		return outcome, r
 	}
 	r.response = response
-	t.endpoints.recordResponse(s, t.service, response.Load)
+	t.endpoints.RecordResponse(s, t.service, response.Load)
 	switch {
 	case response.NotRun || response.AddressReassigned:
 		outcome.Result = attempt.ResultNotRun
@@ -391,13 +391,13 @@
 		response.Close()
 		r.finish()
 		if response.AddressReassigned {
-			t.endpoints.markUnreachable(s, KindRefused)
+			t.markUnreachable(s, KindRefused)
 		}
 	case response.Status >= http.StatusBadRequest, t.headSent && response.Next == nil: // A stream cannot resume as a plain response.
 		outcome.Result = attempt.ResultFailed
 		t.countRun()
 		r.recordOutcome(response.Status >= http.StatusInternalServerError)
-		outcome.EndpointSuspect = t.endpoints.failureInconclusive(s, t.route.Name)
+		outcome.EndpointSuspect = t.endpoints.FailureInconclusive(s, t.route.Name)
 		r.finish()
 	default:
 		t.countRun()
@@ -423,7 +423,7 @@
 		t.unsent++
 		outcome.Sent = attempt.SentNothing
 		outcome.Result = attempt.ResultBroken
-		t.endpoints.markUnreachable(r.state, kind)
+		t.markUnreachable(r.state, kind)
 	case KindWithdrawn:
 		t.sends--
 		t.unsent++
@@ -432,8 +432,8 @@
 	case KindTimeout:
 		t.countRun()
 		outcome.Result = attempt.ResultTimeout
-		if r.dead || t.endpoints.lastActivity(r.state) < r.sentAt {
-			t.endpoints.markUnreachable(r.state, kind)
+		if r.dead || t.endpoints.LastActivity(r.state) < r.sentAt {
+			t.markUnreachable(r.state, kind)
 		}
 		if r.dead && t.probe(context.WithoutCancel(ctx), r.endpoint) == KindNotSent {
 			t.runs-- // A dead endpoint does not count; see checkAlive.
@@ -468,7 +468,7 @@
 	if t.probe(context.WithoutCancel(ctx), e) == "" {
 		return true
 	}
-	t.endpoints.markUnreachable(r.state, KindBroken)
+	t.markUnreachable(r.state, KindBroken)
 	if r.streamed {
 		return false
 	}
@@ -505,7 +505,7 @@
 		return DenialSends
 	case t.unsent >= maxUnsent:
 		return DenialUnreachable
-	case outcome.Sent != attempt.SentNothing && !t.endpoints.hasRetry(t.service.Name):
+	case outcome.Sent != attempt.SentNothing && !t.endpoints.HasRetry(t.service.Name):
 		return DenialBudget
 	}
 	return ""
--- a/entry/forward/timeouts.go
+++ b/entry/forward/timeouts.go
@@ -38,7 +38,7 @@
 	// A started stream that has used its attempts may still leave an endpoint that
 	// died.
 	lastAttempt := t.headSent && denied == DenialAttempts
-	if !t.retryable() || denied != "" && !lastAttempt || !t.endpoints.hasRetry(t.service.Name) {
+	if !t.retryable() || denied != "" && !lastAttempt || !t.endpoints.HasRetry(t.service.Name) {
 		return true
 	}
 	now := t.clock.Mono()
@@ -46,7 +46,7 @@
 	if r.lastEventAt > 0 {
 		since, timeout, limit = r.lastEventAt, t.eventTimeout(), clock.Millis(maxStreamGaps*float64(t.route.GapGoal))
 	}
-	quiet, keepWaiting := now-t.endpoints.lastActivity(r.state), false
+	quiet, keepWaiting := now-t.endpoints.LastActivity(r.state), false
 	if now-since < limit || !t.mayAbandon(now-since) || !t.alternativeAvailable(ctx) {
 		// A draining endpoint refuses new connections and finishes its in-flight
 		// requests, so only KindNotSent counts as dead: if just its process had ended,
@@ -76,13 +76,13 @@
 // endpoint as available for a while.
 func (t *task) alternativeAvailable(ctx context.Context) bool {
 	q, next := t.placementQuery()
-	choice := t.endpoints.peek(next.view, t.service, q)
+	choice := t.endpoints.Peek(next.view, t.service, q)
 	if choice.State == nil {
 		return false
 	}
 	kind := t.probe(ctx, choice.Endpoint)
 	if kind != "" && ctx.Err() == nil {
-		t.endpoints.markUnreachable(choice.State, kind)
+		t.markUnreachable(choice.State, kind)
 	}
 	return kind == ""
 }
@@ -106,7 +106,7 @@
 	}
 	readTime := clock.Millis(placement.Tokens(t.request.PromptParts) / busyReadRate)
 	limit := clock.Millis(maxHeadGoals*float64(t.route.FirstByteGoal)) + readTime
-	if usualDelay := float64(t.endpoints.expectedDelay(delayKey{t.route.Name, t.model})); usualDelay > 0 {
+	if usualDelay := float64(t.delays.Expected(delayKey{t.route.Name, t.model})); usualDelay > 0 {
 		limit = min(limit, clock.Millis(maxHeadDelayFactor*usualDelay*max(1, t.relativeReadTime())))
 	}
 	return max(timeout, limit)
@@ -133,7 +133,7 @@
 	if t.route.Stream {
 		goals = headTimeoutGoals
 	}
-	usualDelay := t.endpoints.expectedDelay(delayKey{t.route.Name, t.model})
+	usualDelay := t.delays.Expected(delayKey{t.route.Name, t.model})
 	return max(clock.Millis(goals*float64(t.route.FirstByteGoal)), 4*usualDelay)
 }
 
