endpoints: Move what an instance knows about endpoints out of forward

The tracker of endpoints and the tables of delays, paces and request sizes are the package entry/endpoints. entry/forward keeps the task of one request and the choice of releases. Nothing outside entry/forward imports the new package.

The package imports entry/registry for the view and nothing of entry/forward or entry/relay, so there is no import cycle. Rules that only forward applies stay there: the bound of a hold, the share of the retry budget kept for failures, and the pace allowed past the canary.

The tests of baselines of delays and paces move along unchanged. Two tests of log lines set the tracker's logger when they build the harness, as it has no field for it any more; they still read only the tracker's lines.

In scratch copies of this tree, the rewritten tests fail if a refused connection counts against its zone, a waiting stream is charged for a retry, or the lines of a leaving endpoint or an ended hold are missing.

go vet and the tests of entry/..., loadtest/... and platform/... without the soak pass.

--- a/entry/forward/delays.go
+++ b/entry/endpoints/delays.go
@@ -1,4 +1,4 @@
-package forward
+package endpoints
 
 import (
 	"slices"
@@ -10,26 +10,26 @@
 	"foxtailbridge/policy/ticket"
 )
 
-// minBaselineRuns is how many runs it takes to know the usual delay or pace.
-const minBaselineRuns = 10
+// MinBaselineRuns is how many runs it takes to know the usual delay or pace.
+const MinBaselineRuns = 10
 
 // delayKey identifies a kind of work with its own usual delay.
 type delayKey struct {
-	Route catalog.RouteName
-	Model ticket.ModelName
+	route catalog.RouteName
+	model ticket.ModelName
 }
 
-// delays holds the usual delay of each kind of work. Its methods may be called concurrently.
-type delays struct {
+// Delays holds the usual delay of each kind of work. Its methods may be called concurrently.
+type Delays struct {
 	mu    sync.Mutex
 	byKey map[delayKey]*delayBaseline
 }
 
-// newDelays returns a table that knows no delays.
-func newDelays() *delays { return &delays{byKey: map[delayKey]*delayBaseline{}} }
+// NewDelays returns a table that knows no delays.
+func NewDelays() *Delays { return &Delays{byKey: map[delayKey]*delayBaseline{}} }
 
-// delayJudgement says how a delay compares with the usual one.
-type delayJudgement struct {
+// DelayJudgement says how a delay compares with the usual one.
+type DelayJudgement struct {
 	// Slow is true if the delay is slow for its kind of work; Known is false if that cannot
 	// be told.
 	Slow, Known bool
@@ -41,7 +41,7 @@
 // Judge compares a run's time to the first byte with the usual one for its kind of work on a
 // route. The load is what the endpoint reported with the response, or nil. Only runs with
 // baseline set update the usual delay.
-func (d *delays) Judge(route *catalog.Route, model ticket.ModelName, delay clock.Millis, load *placement.Load, baseline bool) delayJudgement {
+func (d *Delays) Judge(route *catalog.Route, model ticket.ModelName, delay clock.Millis, load *placement.Load, baseline bool) DelayJudgement {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	key := delayKey{route.Name, model}
@@ -50,13 +50,13 @@
 		b = &delayBaseline{}
 		d.byKey[key] = b
 	}
-	var j delayJudgement
+	var j DelayJudgement
 	if route.Stream {
 		j.Slow, j.Known = b.judgeStream(delay)
 	} else {
 		j.Slow, j.Known = b.judgePlain(delay, route.FirstByteGoal, load)
 	}
-	if b.mean.Count >= minBaselineRuns {
+	if b.mean.Count >= MinBaselineRuns {
 		j.MeanKnown, j.Ratio = true, float64(delay)/max(1, b.mean.Mean)
 	}
 	if baseline {
@@ -66,10 +66,10 @@
 }
 
 // Expected returns the usual time to the first byte, or 0 if it is not known.
-func (d *delays) Expected(key delayKey) clock.Millis {
+func (d *Delays) Expected(route catalog.RouteName, model ticket.ModelName) clock.Millis {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if b := d.byKey[key]; b != nil && b.mean.Count >= minBaselineRuns {
+	if b := d.byKey[delayKey{route, model}]; b != nil && b.mean.Count >= MinBaselineRuns {
 		return clock.Millis(b.mean.Mean)
 	}
 	return 0
@@ -134,7 +134,7 @@
 // judgeStream reports whether a stream was slow to begin; known is false while the usual
 // delay is not known.
 func (b *delayBaseline) judgeStream(delay clock.Millis) (slow, known bool) {
-	if b.mean.Count < minBaselineRuns {
+	if b.mean.Count < MinBaselineRuns {
 		return false, false
 	}
 	return float64(delay) > slowDelayFactor*b.mean.Mean+slowDelayMargin, true
--- /dev/null
+++ b/entry/endpoints/loads.go
@@ -0,0 +1,57 @@
+package endpoints
+
+import (
+	"foxtailbridge/policy/catalog"
+	"foxtailbridge/policy/loadlist"
+	"foxtailbridge/policy/placement"
+	"foxtailbridge/policy/routing"
+	"foxtailbridge/policy/ticket"
+)
+
+// LocalLoads returns this instance's in-flight requests and recent failures at each endpoint.
+func (t *Tracker) LocalLoads() loadlist.Loads {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.deps.Clock.Mono()
+	loads := loadlist.NewLoads()
+	for run, s := range t.states.byRun {
+		if s.OwnInFlight > 0 {
+			loads.InFlight[run.ID] += s.OwnInFlight
+		}
+		if n := s.AdvertisedFailures(now); n > 0 {
+			loads.Failures[run.ID] += n
+		}
+	}
+	return loads
+}
+
+// SetPeerLoads sets the loads of all other instances at each endpoint.
+func (t *Tracker) SetPeerLoads(loads loadlist.Loads) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.deps.Clock.Mono()
+	for run, s := range t.states.byRun {
+		s.SetPeerLoad(loads.InFlight[run.ID], loads.Failures[run.ID], now)
+	}
+}
+
+// InFlightAt returns the in-flight requests of all instances at an endpoint.
+func (t *Tracker) InFlightAt(s *placement.State) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return s.InFlight(t.deps.Clock.Mono())
+}
+
+// InFlight returns the in-flight requests of all instances at each endpoint of a release.
+func (t *Tracker) InFlight(service ticket.ServiceName, release catalog.Release) map[routing.EndpointID]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.deps.Clock.Mono()
+	counts := map[routing.EndpointID]int{}
+	for _, s := range t.states.pool(service).states {
+		if n := s.InFlight(now); s.Endpoint.Release == release && n > 0 {
+			counts[s.Endpoint.ID] = n
+		}
+	}
+	return counts
+}
--- a/entry/forward/paces.go
+++ b/entry/endpoints/paces.go
@@ -1,4 +1,4 @@
-package forward
+package endpoints
 
 import (
 	"cmp"
@@ -10,25 +10,25 @@
 	"foxtailbridge/policy/ticket"
 )
 
-// paces holds the usual time between the stream events of each model. Its methods may be
+// Paces holds the usual time between the stream events of each model. Its methods may be
 // called concurrently.
-type paces struct {
+type Paces struct {
 	mu      sync.Mutex
 	byModel map[ticket.ModelName]*paceBaseline
 }
 
-// newPaces returns a table that knows no paces.
-func newPaces() *paces { return &paces{byModel: map[ticket.ModelName]*paceBaseline{}} }
+// NewPaces returns a table that knows no paces.
+func NewPaces() *Paces { return &Paces{byModel: map[ticket.ModelName]*paceBaseline{}} }
 
 const (
-	// A stream is slow if its mean time between events exceeds slowPaceFactor times the
+	// A stream is slow if its mean time between events exceeds SlowPaceFactor times the
 	// usual plus slowPaceMargin milliseconds.
-	slowPaceFactor = 2.0
+	SlowPaceFactor = 2.0
 	slowPaceMargin = 6.0
 )
 
 // baseline returns a model's baseline; the caller holds the lock.
-func (p *paces) baseline(model ticket.ModelName) *paceBaseline {
+func (p *Paces) baseline(model ticket.ModelName) *paceBaseline {
 	b := p.byModel[model]
 	if b == nil {
 		b = &paceBaseline{}
@@ -38,7 +38,7 @@
 }
 
 // Record adds the time that a stream of the baseline release took for its events.
-func (p *paces) Record(model ticket.ModelName, elapsed clock.Millis, events int) {
+func (p *Paces) Record(model ticket.ModelName, elapsed clock.Millis, events int) {
 	if events < 2 {
 		return
 	}
@@ -49,22 +49,22 @@
 
 // Compare reports whether a stream's events were slow for the number of requests in flight at
 // its endpoint; known is false until there are enough samples of the baseline release.
-func (p *paces) Compare(model ticket.ModelName, elapsed clock.Millis, events, inFlight int, baseline bool) (slower, known bool) {
+func (p *Paces) Compare(model ticket.ModelName, elapsed clock.Millis, events, inFlight int, baseline bool) (slower, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.baseline(model).compare(meanGap(elapsed, events), inFlight, baseline)
 }
 
 // IsSlow reports whether a stream exceeds factor times the usual time between events.
-func (p *paces) IsSlow(model ticket.ModelName, elapsed clock.Millis, events int, factor float64) bool {
+func (p *Paces) IsSlow(model ticket.ModelName, elapsed clock.Millis, events int, factor float64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.byModel[model]
-	return b != nil && b.mean.Count >= minBaselineRuns && meanGap(elapsed, events) > factor*b.mean.Mean+slowPaceMargin
+	return b != nil && b.mean.Count >= MinBaselineRuns && meanGap(elapsed, events) > factor*b.mean.Mean+slowPaceMargin
 }
 
 // Mean returns the usual time between a model's stream events in milliseconds, or 0.
-func (p *paces) Mean(model ticket.ModelName) float64 {
+func (p *Paces) Mean(model ticket.ModelName) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if b := p.byModel[model]; b != nil {
@@ -110,9 +110,9 @@
 	// concurrently. The slowest of them is used, as events that arrive late and in one
 	// burst look fast.
 	fastestShare = 0.1
-	// slowShare is the share of the baseline release's streams assumed to exceed
-	// slowPaceFactor times the median because long prompts are read concurrently.
-	slowShare = 0.25
+	// SlowPaceShare is the share of the baseline release's streams assumed to exceed
+	// SlowPaceFactor times the median because long prompts are read concurrently.
+	SlowPaceShare = 0.25
 	// paceWindow is how many streams the mean covers.
 	paceWindow = 40
 )
@@ -122,7 +122,7 @@
 // samples.
 func (p *paceBaseline) compare(meanGap float64, inFlight int, baseline bool) (slower, known bool) {
 	known = p.count >= comparedSamples
-	slower = known && meanGap > slowPaceFactor*p.expected(inFlight)
+	slower = known && meanGap > SlowPaceFactor*p.expected(inFlight)
 	if baseline {
 		p.samples[p.count%paceHistory] = paceSample{meanGap, inFlight}
 		p.count++
--- a/entry/forward/paces_test.go
+++ b/entry/endpoints/paces_test.go
@@ -1,4 +1,4 @@
-package forward
+package endpoints
 
 import (
 	"math/rand/v2"
--- a/entry/forward/pool.go
+++ b/entry/endpoints/pool.go
@@ -1,9 +1,8 @@
-package forward
+package endpoints
 
 import (
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/placement"
-	"foxtailbridge/policy/share"
 )
 
 // pool holds what this instance knows about one service's endpoints.
@@ -75,31 +74,3 @@
 	}
 	return r.packable.Mean / r.all.Mean
 }
-
-// retryLimits bound a service's retries on all instances together, within Window: a share of
-// its requests, plus a fixed number.
-type retryLimits struct {
-	Ratio  float64
-	Slack  float64
-	Window clock.Millis
-}
-
-// retryBudget is this instance's part of the retry budget of a service.
-type retryBudget struct {
-	share.RetryBudget
-}
-
-// retryRatioShare is share.FleetShare for a limit proportional to the number of requests.
-// The requests of all instances add up exactly and only the windows differ, so the
-// margin is smaller.
-const retryRatioShare = 0.9
-
-func newRetryBudget(limits retryLimits, rounding float64) retryBudget {
-	return retryBudget{share.RetryBudget{Ratio: limits.Ratio * retryRatioShare, WindowLength: limits.Window, Rounding: rounding}}
-}
-
-// withSlack returns the budget with this instance's current part of the fleet's slack.
-func (b *retryBudget) withSlack(limits retryLimits, instances int) *share.RetryBudget {
-	b.Slack = limits.Slack * share.FleetShare / float64(max(1, instances))
-	return &b.RetryBudget
-}
--- a/entry/forward/reach.go
+++ b/entry/endpoints/reachability.go
@@ -1,4 +1,4 @@
-package forward
+package endpoints
 
 import (
 	"foxtailbridge/policy/catalog"
@@ -7,18 +7,18 @@
 	"foxtailbridge/policy/ticket"
 )
 
-// contact says how far a failed attempt got, which tells an endpoint that is down from a zone
+// Contact says how far a failed attempt got, which tells an endpoint that is down from a zone
 // that is cut off.
-type contact string
+type Contact string
 
 // Contacts of failed attempts.
 const (
-	// contactNone means that the endpoint's host did not respond.
-	contactNone contact = "none"
-	// contactRefused means that the host responded and refused the connection.
-	contactRefused contact = "refused"
-	// contactLost means that the attempt failed after the connection was made.
-	contactLost contact = "lost"
+	// ContactNone means that the endpoint's host did not respond.
+	ContactNone Contact = "none"
+	// ContactRefused means that the host responded and refused the connection.
+	ContactRefused Contact = "refused"
+	// ContactLost means that the attempt failed after the connection was made.
+	ContactLost Contact = "lost"
 )
 
 // zoneTable holds the reachability of each zone.
@@ -32,9 +32,9 @@
 }
 
 const (
-	// zoneFailureThreshold is how many unreachable endpoints in a row indicate that a
+	// ZoneFailureThreshold is how many unreachable endpoints in a row indicate that a
 	// zone is cut off.
-	zoneFailureThreshold = 3
+	ZoneFailureThreshold = 3
 	// zoneBackoff is how long the zone is then avoided. It doubles with each further
 	// failure up to maxZoneBackoff.
 	zoneBackoff    = clock.Second
@@ -55,8 +55,8 @@
 		z[name] = status
 	}
 	status.consecutiveFailures++
-	if status.consecutiveFailures >= zoneFailureThreshold {
-		backoff = min(maxZoneBackoff, zoneBackoff<<min(status.consecutiveFailures-zoneFailureThreshold, 4))
+	if status.consecutiveFailures >= ZoneFailureThreshold {
+		backoff = min(maxZoneBackoff, zoneBackoff<<min(status.consecutiveFailures-ZoneFailureThreshold, 4))
 		status.backoffUntil = now + backoff
 	}
 	return status.consecutiveFailures, backoff
@@ -70,11 +70,11 @@
 
 // RecordResponse records that response headers arrived, with the load that the endpoint
 // reported, or nil.
-func (e *tracker) RecordResponse(s *placement.State, service *catalog.Service, load *placement.Load) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := e.deps.Clock.Mono()
-	e.zones.markReachable(s.Endpoint.Zone)
+func (t *Tracker) RecordResponse(s *placement.State, service *catalog.Service, load *placement.Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.deps.Clock.Mono()
+	t.zones.markReachable(s.Endpoint.Zone)
 	if s.MarkReachable(now) && service.ColdDuration > 0 {
 		// An endpoint that was unreachable may have restarted, with an empty cache.
 		s.ClearCached()
@@ -85,37 +85,37 @@
 }
 
 // RecordActivity records that data arrived from the endpoint.
-func (e *tracker) RecordActivity(s *placement.State) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	s.LastReceived = e.deps.Clock.Mono()
+func (t *Tracker) RecordActivity(s *placement.State) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.LastReceived = t.deps.Clock.Mono()
 }
 
 // LastActivity returns when data last arrived from the endpoint.
-func (e *tracker) LastActivity(s *placement.State) clock.Millis {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+func (t *Tracker) LastActivity(s *placement.State) clock.Millis {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	return s.LastReceived
 }
 
 // MarkUnreachable records that the endpoint could not be reached or timed out. The reason is
 // logged.
-func (e *tracker) MarkUnreachable(s *placement.State, c contact, reason string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := e.deps.Clock.Mono()
+func (t *Tracker) MarkUnreachable(s *placement.State, c Contact, reason string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.deps.Clock.Mono()
 	wasDown := s.InBackoff(now)
 	s.MarkUnreachable(now)
-	if c == contactRefused {
-		e.zones.markReachable(s.Endpoint.Zone) // The host responded.
+	if c == ContactRefused {
+		t.zones.markReachable(s.Endpoint.Zone) // The host responded.
 	}
 	if wasDown {
 		return
 	}
-	if c == contactNone {
-		if failures, backoff := e.zones.markUnreachable(s.Endpoint.Zone, now); backoff > 0 {
-			e.deps.Logger.Info("zone-out", "zone", s.Endpoint.Zone, "misses", failures, "ms", int64(backoff))
+	if c == ContactNone {
+		if failures, backoff := t.zones.markUnreachable(s.Endpoint.Zone, now); backoff > 0 {
+			t.deps.Logger.Info("zone-out", "zone", s.Endpoint.Zone, "misses", failures, "ms", int64(backoff))
 		}
 	}
-	e.deps.Logger.Info("endpoint-out", "endpoint", s.Endpoint.ID, "address", s.Endpoint.Address, "why", reason, "heard-ms", int64(now-s.LastReceived))
+	t.deps.Logger.Info("endpoint-out", "endpoint", s.Endpoint.ID, "address", s.Endpoint.Address, "why", reason, "heard-ms", int64(now-s.LastReceived))
 }
--- a/entry/forward/sizes.go
+++ b/entry/endpoints/sizes.go
@@ -1,4 +1,4 @@
-package forward
+package endpoints
 
 import (
 	"sync"
@@ -9,14 +9,14 @@
 	"foxtailbridge/policy/rollout"
 )
 
-// sizes holds the mean size of each route's requests. Its methods may be called concurrently.
-type sizes struct {
+// Sizes holds the mean size of each route's requests. Its methods may be called concurrently.
+type Sizes struct {
 	mu      sync.Mutex
 	byRoute map[catalog.RouteName]*routeSize
 }
 
-// newSizes returns a table that knows no requests.
-func newSizes() *sizes { return &sizes{byRoute: map[catalog.RouteName]*routeSize{}} }
+// NewSizes returns a table that knows no requests.
+func NewSizes() *Sizes { return &Sizes{byRoute: map[catalog.RouteName]*routeSize{}} }
 
 // routeSize is the mean size of a route's requests, in tokens.
 type routeSize struct {
@@ -31,14 +31,14 @@
 	outputTokenWeight = 10
 )
 
-// weightedSize returns the size, in weighted tokens, by which the value of a response is
+// WeightedSize returns the size, in weighted tokens, by which the value of a response is
 // estimated.
-func weightedSize(promptTokens, outputTokens float64) float64 {
+func WeightedSize(promptTokens, outputTokens float64) float64 {
 	return promptTokens + outputTokenWeight*outputTokens
 }
 
 // Add counts a request.
-func (s *sizes) Add(route catalog.RouteName, promptTokens, outputTokens int) {
+func (s *Sizes) Add(route catalog.RouteName, promptTokens, outputTokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	size := s.byRoute[route]
@@ -51,18 +51,18 @@
 }
 
 // Mean returns the mean weighted size of a route's requests, or 0.
-func (s *sizes) Mean(route catalog.RouteName) float64 {
+func (s *Sizes) Mean(route catalog.RouteName) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if size := s.byRoute[route]; size != nil {
-		return weightedSize(size.prompt.Mean, size.output.Mean)
+		return WeightedSize(size.prompt.Mean, size.output.Mean)
 	}
 	return 0
 }
 
 // Load returns what is known of a route's requests. The engine is nil for a plain service;
 // pace is the usual time between the stream events of its largest model.
-func (s *sizes) Load(route catalog.RouteName, engine *catalog.Engine, pace float64) rollout.RouteLoad {
+func (s *Sizes) Load(route catalog.RouteName, engine *catalog.Engine, pace float64) rollout.RouteLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	size := s.byRoute[route]
--- a/entry/forward/states.go
+++ b/entry/endpoints/states.go
@@ -1,4 +1,4 @@
-package forward
+package endpoints
 
 import (
 	"math/rand/v2"
@@ -10,8 +10,8 @@
 	"foxtailbridge/policy/ticket"
 )
 
-// endpointRun identifies one run of an endpoint: a restarted one has another start time.
-type endpointRun struct {
+// Run identifies one run of an endpoint: a restarted one has another start time.
+type Run struct {
 	ID        routing.EndpointID
 	StartedAt clock.Millis
 }
@@ -22,11 +22,11 @@
 	newPool     func() *pool
 	viewVersion uint64
 	pools       map[ticket.ServiceName]*pool
-	byRun       map[endpointRun]*placement.State
+	byRun       map[Run]*placement.State
 }
 
 func newStateTable(random *rand.Rand, newPool func() *pool) *stateTable {
-	return &stateTable{random: random, newPool: newPool, pools: map[ticket.ServiceName]*pool{}, byRun: map[endpointRun]*placement.State{}}
+	return &stateTable{random: random, newPool: newPool, pools: map[ticket.ServiceName]*pool{}, byRun: map[Run]*placement.State{}}
 }
 
 // pool returns a service's pool.
@@ -45,12 +45,12 @@
 		return false
 	}
 	t.viewVersion = view.Version
-	byRun := map[endpointRun]*placement.State{}
+	byRun := map[Run]*placement.State{}
 	for name, list := range view.Endpoints {
 		p := t.pool(name)
 		p.states = p.states[:0]
 		for _, endpoint := range list {
-			run := endpointRun{endpoint.ID, endpoint.StartedAt}
+			run := Run{endpoint.ID, endpoint.StartedAt}
 			s := t.byRun[run]
 			if s == nil {
 				s = placement.NewState(endpoint, now, t.random.Float64())
--- a/entry/forward/delays_test.go
+++ b/entry/forward/delays_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"foxtailbridge/entry/endpoints"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
@@ -17,7 +18,7 @@
 func (h *harness) startPlainOrder(ctx context.Context) *catalog.Order {
 	h.serve(ctx, "/once/x", nil) // The endpoints are first seen here.
 	time.Sleep(warmupSpan.Duration())
-	for range 2 * minBaselineRuns {
+	for range 2 * endpoints.MinBaselineRuns {
 		h.serve(ctx, "/once/x", nil)
 	}
 	order := h.orderOf("plain", 5, 24*clock.Second)
@@ -99,23 +100,3 @@
 		})
 	}
 }
-
-// Guards against an instance that restarted during a roll-out and calls no response slow,
-// as it has none of the old release to compare with.
-func TestSlowPlainResponseWithoutBaseline(t *testing.T) {
-	b := &delayBaseline{}
-	rows := []struct {
-		name        string
-		delay, goal clock.Millis
-		slow, known bool
-	}{
-		{"within the goal", 90, 100, false, true},
-		{"beyond the goal", 120, 100, true, true},
-		{"no goal", 120, 0, false, false},
-	}
-	for _, row := range rows {
-		if slow, known := b.judgePlain(row.delay, row.goal, nil); slow != row.slow || known != row.known {
-			t.Errorf("%s: slow %v, known %v", row.name, slow, known)
-		}
-	}
-}
--- a/entry/forward/deliver.go
+++ b/entry/forward/deliver.go
@@ -85,7 +85,7 @@
 	defer func() {
 		t.countPace(r, t.clock.Mono()-start, events)
 		if t.arm != ArmNew {
-			t.paces.Record(r.key.Model, t.clock.Mono()-start, events)
+			t.paces.Record(r.model, t.clock.Mono()-start, events)
 		}
 	}()
 	for {
@@ -113,8 +113,8 @@
 			// A long stream is counted now, as its end would come too late to stop a
 			// release.
 			r.slow = true
-			t.logger.Info("stream-slow", "request", t.request.ID, "endpoint", r.endpoint.ID, "arm", t.arm, "model", r.key.Model,
-				"pace-ms", int64(now-start)/int64(max(1, events-1)), "usual-ms", int64(t.paces.Mean(r.key.Model)), "events", events)
+			t.logger.Info("stream-slow", "request", t.request.ID, "endpoint", r.endpoint.ID, "arm", t.arm, "model", r.model,
+				"pace-ms", int64(now-start)/int64(max(1, events-1)), "usual-ms", int64(t.paces.Mean(r.model)), "events", events)
 			r.recordOutcome(false)
 			t.countPace(r, now-start, max(events, minPaceEvents))
 		}
--- a/entry/forward/escalate.go
+++ b/entry/forward/escalate.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"foxtailbridge/entry/endpoints"
 	"foxtailbridge/policy/cascade"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/placement"
@@ -21,7 +22,7 @@
 		return false
 	}
 	now := t.clock.Mono()
-	key := delayKey{t.route.Name, larger}
+	usualDelay := t.delays.Expected(t.route.Name, larger)
 	events := t.request.MaxTokens
 	if stride := t.service.Engine.TokensPerEvent; stride > 0 {
 		events /= stride
@@ -33,9 +34,9 @@
 		Utilization:        1 - float64(choice.FreeSlots)/float64(max(1, choice.Slots)),
 		FirstTokenGoal:     t.route.FirstByteGoal,
 		FirstTokenBudget:   min(t.deadline, t.request.ReceivedAt+t.route.FirstByteGoal) - now,
-		ExpectedFirstToken: clock.Millis(float64(t.delays.Expected(key)) * t.relativeReadTime()),
+		ExpectedFirstToken: clock.Millis(float64(usualDelay) * t.relativeReadTime()),
 		CompletionBudget:   t.deadline - now,
-		ExpectedCompletion: t.delays.Expected(key) + clock.Millis(float64(events)*t.paces.Mean(larger)),
+		ExpectedCompletion: usualDelay + clock.Millis(float64(events)*t.paces.Mean(larger)),
 	}
 	return doubt.Worthwhile()
 }
@@ -69,7 +70,7 @@
 // size returns the weighted number of tokens by which the value of a request's response
 // is estimated.
 func (t *task) size() float64 {
-	return weightedSize(float64(placement.Tokens(t.request.PromptParts)), float64(t.request.MaxTokens))
+	return endpoints.WeightedSize(float64(placement.Tokens(t.request.PromptParts)), float64(t.request.MaxTokens))
 }
 
 // relativeReadTime is the time to read this prompt relative to the route's mean.
--- a/entry/forward/evidence.go
+++ b/entry/forward/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"foxtailbridge/entry/endpoints"
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
@@ -98,7 +99,7 @@
 	if t.pastCanary() {
 		return t.isSlowPastCanary(r, elapsed, events)
 	}
-	return events >= minPaceEvents && t.paces.IsSlow(r.key.Model, elapsed, events, slowPaceFactor)
+	return events >= minPaceEvents && t.paces.IsSlow(r.model, elapsed, events, endpoints.SlowPaceFactor)
 }
 
 // isSlowPastCanary reports whether a stream is slow even for an endpoint under high
@@ -106,7 +107,7 @@
 func (t *task) isSlowPastCanary(r *run, elapsed clock.Millis, events int) bool {
 	// If the first events alone take longer than paceSampleEvents events may, the
 	// stream is slow already.
-	return t.paces.IsSlow(r.key.Model, elapsed, max(events, paceSampleEvents), pastCanaryPaceFactor)
+	return t.paces.IsSlow(r.model, elapsed, max(events, paceSampleEvents), pastCanaryPaceFactor)
 }
 
 // Pseudo-routes for further evidence on a release.
@@ -144,7 +145,7 @@
 const (
 	// CanaryPaceGoodShare is the share of the old release's streams assumed to be good
 	// on CanaryPaceRoute.
-	CanaryPaceGoodShare = 1 - slowShare
+	CanaryPaceGoodShare = 1 - endpoints.SlowPaceShare
 	// PostCanaryPaceGoodShare is the smallest share of good streams on
 	// PostCanaryPaceRoute for a good release. Under high load some streams are slow
 	// because prompts are read concurrently.
@@ -158,7 +159,7 @@
 const (
 	// minPaceEvents is how many events it takes to judge whether a stream is slow.
 	minPaceEvents = 3
-	// pastCanaryPaceFactor replaces slowPaceFactor after the canary phase, when the new
+	// pastCanaryPaceFactor replaces endpoints.SlowPaceFactor after the canary phase, when the new
 	// endpoints take a high load without cached prompts.
 	pastCanaryPaceFactor = 4.0
 	// paceSampleEvents is how many events it takes to measure a stream's pace.
@@ -180,7 +181,7 @@
 		r.countEvidence(PostCanaryPaceRoute, !t.isSlowPastCanary(r, elapsed, events))
 		return
 	}
-	if slower, known := t.paces.Compare(r.key.Model, elapsed, events, t.endpoints.InFlightAt(r.state), t.arm != ArmNew); known {
+	if slower, known := t.paces.Compare(r.model, elapsed, events, t.endpoints.InFlightAt(r.state), t.arm != ArmNew); known {
 		r.countEvidence(CanaryPaceRoute, !slower)
 	}
 }
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"foxtailbridge/entry/endpoints"
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/entry/relay"
 	"foxtailbridge/policy/catalog"
@@ -54,10 +55,10 @@
 	limits    *atomic.Pointer[Limits]
 	clock     *clock.Clock
 	logger    hclog.Logger
-	endpoints *tracker
-	delays    *delays
-	paces     *paces
-	sizes     *sizes
+	endpoints *endpoints.Tracker
+	delays    *endpoints.Delays
+	paces     *endpoints.Paces
+	sizes     *endpoints.Sizes
 	releases  *releaseRouter
 }
 
@@ -71,21 +72,21 @@
 		limits: limits,
 		clock:  deps.Clock,
 		logger: logger,
-		endpoints: newTracker(trackerDeps{
+		endpoints: endpoints.New(endpoints.Dependencies{
 			Clock: deps.Clock, Random: deps.Random, Logger: logger, Instances: deps.Relay.InstanceCount,
-			RetryLimits: func() retryLimits {
+			RetryLimits: func() endpoints.RetryLimits {
 				l := limits.Load()
-				return retryLimits{Ratio: l.RetryRatio, Slack: l.RetrySlack, Window: l.RetryWindow}
+				return endpoints.RetryLimits{Ratio: l.RetryRatio, Slack: l.RetrySlack, Window: l.RetryWindow}
 			},
 		}),
-		delays:   newDelays(),
-		paces:    newPaces(),
-		sizes:    newSizes(),
+		delays:   endpoints.NewDelays(),
+		paces:    endpoints.NewPaces(),
+		sizes:    endpoints.NewSizes(),
 		releases: newReleaseRouter(deps.Clock, limits, deps.Relay, logger),
 	}
 	deps.Relay.LocalLoads = f.endpoints.LocalLoads
 	deps.Relay.OnRemoteLoads = f.endpoints.SetPeerLoads
-	deps.Relay.OnLeaving = func(e relay.LeavingEndpoint, source string) { f.endpoints.MarkLeaving(endpointRun(e), source) }
+	deps.Relay.OnLeaving = func(e relay.LeavingEndpoint, source string) { f.endpoints.MarkLeaving(endpoints.Run(e), source) }
 	return f
 }
 
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"foxtailbridge/entry/endpoints"
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/entry/relay"
 	"foxtailbridge/policy/cascade"
@@ -81,8 +82,20 @@
 
 func newHarness() *harness { return newNetworkHarness("i", network{}) }
 
+// newEndpointLogHarness returns a harness that logs what it learns about endpoints, and
+// nothing else.
+func newEndpointLogHarness(log io.Writer) *harness {
+	h := buildHarness("i", network{}, hclog.New(&hclog.LoggerOptions{Output: log}))
+	h.logger = hclog.NewNullLogger()
+	return h
+}
+
 // newNetworkHarness returns a harness whose relay reaches the others of the network.
 func newNetworkHarness(name string, n network) *harness {
+	return buildHarness(name, n, hclog.NewNullLogger())
+}
+
+func buildHarness(name string, n network, logger hclog.Logger) *harness {
 	h := &harness{dead: map[routing.EndpointID]bool{}, refusing: map[routing.EndpointID]bool{}}
 	c := clock.New()
 	h.registry = registry.New(c, hclog.NewNullLogger())
@@ -102,7 +115,7 @@
 	n[name] = mux
 	limits := &Limits{Zone: "a", RetryRatio: 0.9, RetrySlack: 58, RetryWindow: 10000, Exposure: 0.15, SessionTTL: 5000, MaxViewAge: 3000}
 	h.Forwarder = New(limits, Dependencies{
-		Registry: h.registry, Relay: h.relay, Clock: c, Random: rand.New(rand.NewPCG(1, 2)), Logger: hclog.NewNullLogger(), Scope: tally.NoopScope,
+		Registry: h.registry, Relay: h.relay, Clock: c, Random: rand.New(rand.NewPCG(1, 2)), Logger: logger, Scope: tally.NoopScope,
 		Sender: Sender{
 			Send: func(_ context.Context, a *Attempt) (*Response, error) {
 				h.mu.Lock()
@@ -604,7 +617,7 @@
 		h := newHarness()
 		pause := 100 * time.Millisecond
 		h.respond = func(int, *Attempt) (*Response, error) { return pacedStream(12, pause), nil }
-		for range 2 * minBaselineRuns {
+		for range 2 * endpoints.MinBaselineRuns {
 			h.serve(t.Context(), "/note/x", nil)
 		}
 		order := h.order(5, 20*clock.Second)
@@ -756,7 +769,7 @@
 		h := newHarness()
 		pause := 50 * time.Millisecond
 		h.respond = func(int, *Attempt) (*Response, error) { return pacedStream(8, pause), nil }
-		for range 2 * minBaselineRuns {
+		for range 2 * endpoints.MinBaselineRuns {
 			h.serve(t.Context(), "/note/x", nil)
 		}
 		order := h.order(5, 20*clock.Second)
--- a/entry/forward/light_load_test.go
+++ b/entry/forward/light_load_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"foxtailbridge/entry/endpoints"
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
@@ -50,7 +51,7 @@
 				h := newHarness()
 				pause := 20 * time.Millisecond
 				h.respond = func(int, *Attempt) (*Response, error) { return pacedStream(20, pause), nil }
-				for range minBaselineRuns {
+				for range endpoints.MinBaselineRuns {
 					h.serve(t.Context(), "/note/x", nil)
 				}
 				order := h.order(5, 20*clock.Second)
--- a/entry/forward/loads.go
+++ b/entry/forward/loads.go
@@ -2,56 +2,30 @@
 
 import (
 	"foxtailbridge/policy/catalog"
-	"foxtailbridge/policy/loadlist"
-	"foxtailbridge/policy/placement"
+	"foxtailbridge/policy/rollout"
 	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/ticket"
 )
 
-// LocalLoads returns this instance's in-flight requests and recent failures at each endpoint.
-func (e *tracker) LocalLoads() loadlist.Loads {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := e.deps.Clock.Mono()
-	loads := loadlist.NewLoads()
-	for run, s := range e.states.byRun {
-		if s.OwnInFlight > 0 {
-			loads.InFlight[run.ID] += s.OwnInFlight
-		}
-		if n := s.AdvertisedFailures(now); n > 0 {
-			loads.Failures[run.ID] += n
-		}
-	}
-	return loads
+// InFlight returns the in-flight requests of all instances at each endpoint of a
+// release.
+func (f *Forwarder) InFlight(service ticket.ServiceName, release catalog.Release) map[routing.EndpointID]int {
+	return f.endpoints.InFlight(service, release)
 }
 
-// SetPeerLoads sets the loads of all other instances at each endpoint.
-func (e *tracker) SetPeerLoads(loads loadlist.Loads) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := e.deps.Clock.Mono()
-	for run, s := range e.states.byRun {
-		s.SetPeerLoad(loads.InFlight[run.ID], loads.Failures[run.ID], now)
+// RouteLoads returns what this instance knows of the requests on a service's routes.
+func (f *Forwarder) RouteLoads(name ticket.ServiceName) []rollout.RouteLoad {
+	config := f.deps.Registry.View().Config
+	if config == nil || config.Services[name] == nil {
+		return nil
 	}
-}
-
-// InFlightAt returns the in-flight requests of all instances at an endpoint.
-func (e *tracker) InFlightAt(s *placement.State) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return s.InFlight(e.deps.Clock.Mono())
-}
-
-// InFlight returns the in-flight requests of all instances at each endpoint of a release.
-func (e *tracker) InFlight(service ticket.ServiceName, release catalog.Release) map[routing.EndpointID]int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := e.deps.Clock.Mono()
-	counts := map[routing.EndpointID]int{}
-	for _, s := range e.states.pool(service).states {
-		if n := s.InFlight(now); s.Endpoint.Release == release && n > 0 {
-			counts[s.Endpoint.ID] = n
-		}
+	engine, pace := config.Services[name].Engine, 0.0
+	if engine != nil {
+		pace = f.paces.Mean(engine.LargestModel())
+	}
+	var list []rollout.RouteLoad
+	for _, route := range config.RoutesOf(name) {
+		list = append(list, f.sizes.Load(route, engine, pace))
 	}
-	return counts
+	return list
 }
--- a/entry/forward/notices_test.go
+++ b/entry/forward/notices_test.go
@@ -10,8 +10,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
@@ -50,8 +48,7 @@
 func TestLeavingEndpoint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var log bytes.Buffer
-		h := newHarness()
-		h.endpoints.deps.Logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+		h := newEndpointLogHarness(&log)
 		var leaving routing.EndpointID
 		h.respond = func(n int, a *Attempt) (*Response, error) {
 			if n == 1 {
@@ -134,8 +131,7 @@
 func TestHeldOffEndpoint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var log bytes.Buffer
-		h := newHarness()
-		h.endpoints.deps.Logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+		h := newEndpointLogHarness(&log)
 		holding := true
 		h.respond = func(_ int, a *Attempt) (*Response, error) {
 			if holding {
--- a/entry/forward/resume_test.go
+++ b/entry/forward/resume_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"foxtailbridge/entry/endpoints"
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
@@ -248,7 +249,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				h := newHarness()
 				service, q := &catalog.Service{Name: "engines"}, &placement.Query{Zone: "b", MaxUtilization: 1, Accept: func(*catalog.Endpoint) bool { return true }}
-				for range zoneFailureThreshold {
+				for range endpoints.ZoneFailureThreshold {
 					choice := h.endpoints.Peek(h.registry.View(), service, q)
 					q.Tried = append(q.Tried, choice.State)
 				}
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 
+	"foxtailbridge/entry/endpoints"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/fault"
 	"foxtailbridge/policy/placement"
+	"foxtailbridge/policy/ticket"
 )
 
 // run is one attempt at an endpoint.
@@ -14,10 +16,10 @@
 	task  *task
 	state *placement.State
 	// endpoint is the view's entry when the endpoint was chosen. state.Endpoint changes
-	// with the view, guarded by the tracker's lock.
+	// with the view, guarded by the lock of endpoints.Tracker.
 	endpoint *catalog.Endpoint
 	response *Response
-	key      delayKey
+	model    ticket.ModelName
 	sentAt   clock.Millis
 	// prefillTokens is the weighted number of prompt tokens that the endpoint has yet
 	// to read.
@@ -49,11 +51,11 @@
 func (r *run) recordHead() {
 	t := r.task
 	now := t.clock.Mono()
-	t.endpoints.PromptRead(r.state, t.request.PromptParts, r.key.Model, r.prefillTokens)
+	t.endpoints.PromptRead(r.state, t.request.PromptParts, r.model, r.prefillTokens)
 	r.prefillTokens = 0
 	warmingUp := now-r.state.FirstSeen < warmupSpan
-	r.usualDelay = t.delays.Expected(r.key)
-	judgement := t.delays.Judge(t.route, r.key.Model, now-r.sentAt, r.response.Load, t.arm != ArmNew && !warmingUp)
+	r.usualDelay = t.delays.Expected(t.route.Name, r.model)
+	judgement := t.delays.Judge(t.route, r.model, now-r.sentAt, r.response.Load, t.arm != ArmNew && !warmingUp)
 	if judgement.MeanKnown {
 		t.endpoints.RecordLatency(r.state, judgement.Ratio)
 	}
@@ -102,7 +104,9 @@
 		return
 	}
 	r.ended = true
-	r.task.endpoints.RunEnded(endedRun{State: r.state, Service: r.task.service.Name, SentAt: r.sentAt, PrefillTokens: r.prefillTokens, Packable: r.packable})
+	r.task.endpoints.AttemptEnded(endpoints.EndedAttempt{
+		State: r.state, Service: r.task.service.Name, SentAt: r.sentAt, PrefillTokens: r.prefillTokens, Packable: r.packable,
+	})
 	r.prefillTokens = 0
 }
 
@@ -131,12 +135,12 @@
 
 // markUnreachable records that an endpoint could not be reached or timed out.
 func (f *Forwarder) markUnreachable(s *placement.State, kind Kind) {
-	c := contactLost
+	c := endpoints.ContactLost
 	switch kind {
 	case KindNotSent:
-		c = contactNone
+		c = endpoints.ContactNone
 	case KindRefused:
-		c = contactRefused
+		c = endpoints.ContactRefused
 	}
 	f.endpoints.MarkUnreachable(s, c, string(kind))
 }
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -353,7 +353,7 @@
 	if choice.Slots == 0 {
 		return clock.Second
 	}
-	usualDelay := t.delays.Expected(delayKey{t.route.Name, t.model})
+	usualDelay := t.delays.Expected(t.route.Name, t.model)
 	queueRatio := float64(choice.Waiting+1) / float64(choice.Slots)
 	return min(maxRetryAfter, max(minRetryAfter, minRetryAfter+clock.Millis(queueRatio*float64(max(usualDelay, 100)))))
 }
@@ -362,7 +362,7 @@
 func (t *task) attempt(ctx context.Context, choice placement.Choice) (attempt.Outcome, *run) {
 	s := choice.State
 	r := &run{
-		task: t, state: s, endpoint: choice.Endpoint, key: delayKey{t.route.Name, t.model}, sentAt: t.clock.Mono(),
+		task: t, state: s, endpoint: choice.Endpoint, model: t.model, sentAt: t.clock.Mono(),
 		prefillTokens: t.relativeCost() * float64(placement.Tokens(t.request.PromptParts)), packedEndpoints: choice.PackedEndpoints,
 		packable: placement.Packable(t.request.PromptParts, t.relativeCost()),
 	}
--- a/entry/forward/timeouts.go
+++ b/entry/forward/timeouts.go
@@ -106,7 +106,7 @@
 	}
 	readTime := clock.Millis(placement.Tokens(t.request.PromptParts) / busyReadRate)
 	limit := clock.Millis(maxHeadGoals*float64(t.route.FirstByteGoal)) + readTime
-	if usualDelay := float64(t.delays.Expected(delayKey{t.route.Name, t.model})); usualDelay > 0 {
+	if usualDelay := float64(t.delays.Expected(t.route.Name, t.model)); usualDelay > 0 {
 		limit = min(limit, clock.Millis(maxHeadDelayFactor*usualDelay*max(1, t.relativeReadTime())))
 	}
 	return max(timeout, limit)
@@ -133,7 +133,7 @@
 	if t.route.Stream {
 		goals = headTimeoutGoals
 	}
-	usualDelay := t.delays.Expected(delayKey{t.route.Name, t.model})
+	usualDelay := t.delays.Expected(t.route.Name, t.model)
 	return max(clock.Millis(goals*float64(t.route.FirstByteGoal)), 4*usualDelay)
 }
 
