forward: Split task.go by what its parts decide

Code is only moved.

go vet and the tests of entry/..., loadtest/... and platform/... without the soak pass, scripts/lint.sh too, and -race -count=2 on entry/forward and entry/endpoints.

--- a/entry/forward/place.go
+++ b/entry/forward/place.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 
+	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/placement"
+	"foxtailbridge/policy/rollout"
 	"foxtailbridge/policy/routing"
 )
 
@@ -62,3 +64,121 @@
 		t.tried = nil // Endpoints that rejected the request may have room by now.
 	}
 }
+
+const (
+	// plainQueueLimit and engineQueueLimit are the utilizations up to which requests
+	// may queue at an endpoint. A plain endpoint frees a slot within about 10 ms, so
+	// its queue may be longer.
+	plainQueueLimit  = 2.5
+	engineQueueLimit = 1.3
+	// queueLimitPerRank is added for each rank of urgency above the lowest.
+	queueLimitPerRank = 0.12
+	lowestRank        = 3
+)
+
+// placementQuery returns a query for an endpoint against the current view, and the
+// assignment to use if an attempt is sent by it. It leaves the task's own assignment
+// alone, as a running attempt is counted under the assignment with which it was sent.
+func (t *task) placementQuery() (*placement.Query, assignment) {
+	next := assignment{view: t.deps.Registry.View(), arm: t.arm, progress: t.progress}
+	var accept func(*catalog.Endpoint) bool
+	if t.boundRelease != "" {
+		accept = func(e *catalog.Endpoint) bool { return e.Release == t.boundRelease && next.view.Usable(e) }
+	} else {
+		next.arm, accept, next.progress = t.releases.pickArm(next.view, t.service.Name, t.route.Name, t.sessionKey())
+	}
+	queueLimit := plainQueueLimit
+	if t.service.Engine != nil {
+		queueLimit = engineQueueLimit
+	}
+	queueLimit += queueLimitPerRank * float64(max(0, lowestRank-t.rank))
+	var pack *placement.Pack
+	if t.boundRelease == "" && next.arm == ArmNew && next.progress.phaseOn(t.route.Name).PacksEndpoints() {
+		// Packing requests onto few endpoints shows early whether a release fails under load.
+		pack = &placement.Pack{Key: string(next.progress.order.Target)}
+		if next.progress.schedule.LightLoad == nil {
+			share := next.progress.schedule.Share(t.route.Name, next.progress.elapsed, t.limits.Load().Exposure)
+			pack.LoadShare = share * t.endpoints.PackableShare(t.service.Name)
+		}
+	}
+	return &placement.Query{
+		Pack:             pack,
+		Zone:             t.limits.Load().Zone,
+		Parts:            t.request.PromptParts,
+		Model:            t.model,
+		RelativeCost:     t.relativeCost(),
+		CrossZoneBytes:   len(t.request.Body),
+		Accept:           accept,
+		Tried:            t.tried,
+		Homes:            t.homes,
+		MaxUtilization:   queueLimit,
+		AllowUnconfirmed: t.retryable() && t.sends == 0,
+	}, next
+}
+
+// findEndpoint picks an endpoint and counts the request there. If the new release has
+// no room, it falls back to the old one, except for a session that already ran on the
+// new one. If it finds none, the choice describes the release that was preferred, or
+// the old one if the preferred release has no endpoints.
+func (t *task) findEndpoint() placement.Choice {
+	if t.outOfTime() {
+		return placement.Choice{Reason: routing.Reason(ReasonDeadlinePassed)}
+	}
+	if t.quarantined() {
+		return placement.Choice{Reason: reasonQuarantined}
+	}
+	var q *placement.Query
+	q, t.assignment = t.placementQuery()
+	type candidate struct {
+		arm    Arm
+		accept func(*catalog.Endpoint) bool
+		pack   *placement.Pack
+	}
+	candidates := []candidate{{t.arm, q.Accept, q.Pack}}
+	if t.boundRelease == "" && t.arm == ArmNew && !t.pinnedToNew() {
+		candidates = append(candidates, candidate{ArmOld, t.releases.oldReleaseFilter(t.view, t.progress), nil})
+	}
+	var refusal placement.Choice
+	keptAway := false
+	for _, allowUnconfirmed := range []bool{false, true} {
+		if q.AllowUnconfirmed && !allowUnconfirmed {
+			continue // A first pass without unconfirmed endpoints would gain nothing.
+		}
+		q.AllowUnconfirmed = allowUnconfirmed
+		for _, c := range candidates {
+			q.Accept, q.Pack = c.accept, c.pack
+			q.Model, q.RelativeCost = t.model, t.relativeCost()
+			if c.pack != nil && t.fillsWithLargest() {
+				q.Model = t.route.Models[len(t.route.Models)-1]
+				q.RelativeCost = t.service.Engine.RelativeCost(q.Model)
+			}
+			choice := t.endpoints.Choose(t.view, t.service, q)
+			if choice.KeptAway > 0 && !keptAway {
+				keptAway = true
+				t.deps.Scope.Counter("kept_away").Inc(1)
+			}
+			if choice.State != nil {
+				t.arm = c.arm
+				t.model = q.Model
+				return choice
+			}
+			if refusal.Considered == 0 {
+				refusal = choice
+			}
+		}
+	}
+	return refusal
+}
+
+// fillsWithLargest reports whether the request runs on the largest model at once because it
+// fills an endpoint under light load: it keeps a slot busy for longer and is not run twice, so
+// that fewer requests are exposed to the new release.
+func (t *task) fillsWithLargest() bool {
+	return t.model != "" && t.service.Engine != nil && t.progress.schedule.LightLoad != nil && t.progress.phaseOn(t.route.Name) == rollout.PhaseLoad
+}
+
+// pinnedToNew reports whether the request's session is pinned to the new release.
+func (t *task) pinnedToNew() bool {
+	last, pinned := t.releases.pinnedRelease(t.sessionKey())
+	return pinned && last == t.progress.order.Target
+}
--- /dev/null
+++ b/entry/forward/refusal.go
@@ -0,0 +1,91 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/placement"
+	"foxtailbridge/policy/routing"
+)
+
+// noEndpoint returns the result of a request for which there is no endpoint.
+func (t *task) noEndpoint(ctx context.Context, choice placement.Choice) Result {
+	if ctx.Err() != nil {
+		return t.canceled(ctx)
+	}
+	outOfTime := choice.Reason == routing.Reason(ReasonDeadlinePassed)
+	t.logger.Info("no-endpoint", "request", t.request.ID, "reason", choice.Reason, "considered", choice.Considered,
+		"verdicts", choice.Rejections.String(), "free", choice.FreeSlots, "slots", choice.Slots, "waiting", choice.Waiting, "runs", t.runs,
+		"begun", t.headSent, "release", t.boundRelease, "left-ms", int64(max(0, t.deadline-t.clock.Mono())))
+	switch {
+	case choice.Reason == reasonQuarantined && t.headSent:
+		return Result{Reason: ReasonQuarantined, Abort: true}
+	case choice.Reason == reasonQuarantined:
+		return localReply(http.StatusBadGateway, ReasonQuarantined, 0)
+	case t.headSent:
+		return t.abort()
+	case t.mayHaveRun && outOfTime:
+		return localReply(http.StatusGatewayTimeout, ReasonDeadlinePassed, 0)
+	case t.mayHaveRun:
+		return localReply(http.StatusBadGateway, ReasonOutcomeUnknown, 0)
+	case outOfTime:
+		return localReply(http.StatusServiceUnavailable, ReasonDeadlinePassed, minRetryAfter)
+	case choice.Reason == routing.ReasonFull:
+		return localReply(http.StatusServiceUnavailable, ReasonEndpointsFull, t.estimateRetryAfter(choice))
+	}
+	return localReply(http.StatusServiceUnavailable, ReasonNoEndpoint, t.estimateRetryAfter(choice))
+}
+
+const (
+	// minRetryAfter is the Retry-After if an endpoint may free a slot at any moment.
+	minRetryAfter = 150 * clock.Millis(1)
+	// maxRetryAfter bounds Retry-After: endpoints are back or replaced by then.
+	maxRetryAfter = 2 * clock.Second
+	// ShutdownRetryAfter is the Retry-After of a request that is refused because the instance
+	// shuts down. Others can serve it at once.
+	ShutdownRetryAfter = 50 * clock.Millis(1)
+)
+
+// estimateRetryAfter estimates when an endpoint will have room.
+func (t *task) estimateRetryAfter(choice placement.Choice) clock.Millis {
+	if choice.Slots == 0 && choice.HeldOffUntil > 0 {
+		// Callers come back within a third of the time that they have left, if at all.
+		now := t.clock.Mono()
+		return max(minRetryAfter, min(choice.HeldOffUntil-now, (t.deadline-now)/3))
+	}
+	if choice.Slots == 0 {
+		return clock.Second
+	}
+	usualDelay := t.delays.Expected(t.route.Name, t.model)
+	queueRatio := float64(choice.Waiting+1) / float64(choice.Slots)
+	return min(maxRetryAfter, max(minRetryAfter, minRetryAfter+clock.Millis(queueRatio*float64(max(usualDelay, 100)))))
+}
+
+// callerDisconnected returns the result of a request whose caller disconnected.
+func (t *task) callerDisconnected() Result {
+	return Result{Reason: ReasonCallerGone, LocalReply: true, Abort: t.headSent}
+}
+
+// canceled returns the result of a request whose context is done: the caller disconnected, or
+// the instance shuts down and still owes the caller a response.
+func (t *task) canceled(ctx context.Context) Result {
+	switch {
+	case !errors.Is(context.Cause(ctx), ErrShutdown):
+		return t.callerDisconnected()
+	case t.headSent:
+		return Result{Reason: ReasonShutdown, Abort: true}
+	case t.mayHaveRun:
+		return localReply(http.StatusBadGateway, ReasonShutdown, 0)
+	}
+	return localReply(http.StatusServiceUnavailable, ReasonShutdown, ShutdownRetryAfter)
+}
+
+// abort returns the result of a started response that cannot be completed.
+func (t *task) abort() Result {
+	if t.outOfTime() {
+		return Result{Reason: ReasonDeadlinePassed, Abort: true}
+	}
+	return Result{Reason: ReasonStreamCut, Abort: true}
+}
