--- a/entry/forward/evidence.go
+++ b/entry/forward/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"foxtailbridge/entry/endpoints"
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
@@ -33,7 +34,7 @@
 	}
 	r.outcomeRecorded = true
 	t := r.task
-	t.endpoints.recordOutcome(r.state, t.route, t.service.Name, failed)
+	t.endpoints.RecordOutcome(r.state, t.route.Name, t.service.Name, failed)
 	if r.response != nil { // A broken connection says more about the endpoint than about its release.
 		r.countEvidence(t.route.Name, !failed && !(r.slow && t.route.Stream))
 		if !t.route.Stream && (r.delay == delayUsual || r.delay == delaySlow) {
@@ -98,7 +99,7 @@
 	if t.pastCanary() {
 		return t.isSlowPastCanary(r, elapsed, events)
 	}
-	return events >= minPaceEvents && t.endpoints.isSlowPace(r.key.model, elapsed, events, slowPaceFactor)
+	return events >= minPaceEvents && t.paces.IsSlow(r.model, elapsed, events, endpoints.SlowPaceFactor)
 }
 
 // isSlowPastCanary reports whether a stream is slow even for an endpoint under high
@@ -106,7 +107,7 @@
 func (t *task) isSlowPastCanary(r *run, elapsed clock.Millis, events int) bool {
 	// If the first events alone take longer than paceSampleEvents events may, the
 	// stream is slow already.
-	return t.endpoints.isSlowPace(r.key.model, elapsed, max(events, paceSampleEvents), pastCanaryPaceFactor)
+	return t.paces.IsSlow(r.model, elapsed, max(events, paceSampleEvents), pastCanaryPaceFactor)
 }
 
 // Pseudo-routes for further evidence on a release.
@@ -144,7 +145,7 @@
 const (
 	// CanaryPaceGoodShare is the share of the old release's streams assumed to be good
 	// on CanaryPaceRoute.
-	CanaryPaceGoodShare = 1 - slowShare
+	CanaryPaceGoodShare = 1 - endpoints.SlowPaceShare
 	// PostCanaryPaceGoodShare is the smallest share of good streams on
 	// PostCanaryPaceRoute for a good release. Under high load some streams are slow
 	// because prompts are read concurrently.
@@ -156,6 +157,11 @@
 )
 
 const (
+	// minPaceEvents is how many events it takes to judge whether a stream is slow.
+	minPaceEvents = 3
+	// pastCanaryPaceFactor replaces endpoints.SlowPaceFactor after the canary phase, when the new
+	// endpoints take a high load without cached prompts.
+	pastCanaryPaceFactor = 4.0
 	// paceSampleEvents is how many events it takes to measure a stream's pace.
 	paceSampleEvents = 6
 	// minComparedEvents is how many it takes to compare a stream with others under a
@@ -175,7 +181,7 @@
 		r.countEvidence(PostCanaryPaceRoute, !t.isSlowPastCanary(r, elapsed, events))
 		return
 	}
-	if slower, known := t.endpoints.comparePace(r.state, r.key.model, elapsed, events, t.arm != ArmNew); known {
+	if slower, known := t.paces.Compare(r.model, elapsed, events, t.endpoints.InFlightAt(r.state), t.arm != ArmNew); known {
 		r.countEvidence(CanaryPaceRoute, !slower)
 	}
 }
