registry, relay: Keep the configuration with the highest version in force

Callers saw: seconds after version 3 was confirmed, all instances went back to version 2, whose write had been executed late.

Cause: of two records of the key, the one with the higher offset won. The registry now compares configurations by version and, if these are equal, by offset, from the store and from peers alike, also in listings after the history has expired. A deletion or a record that can't be decoded leaves the configuration in force, and peers can still get it. Other records keep their order. A line "config-ignored" is logged once for each older record.

Peers sent each other records by heads, which are equal at an instance that started after the late write and read only version 2. Messages now name the version and offset of the sender's configuration, and a peer with a lower one is sent the record. A peer that doesn't name one (an older program) is sent records by heads alone.

If all instances have ended, the latest record in the store is in force at the next start (docs/design/platform.md).

The fakes in entry/relay decode the version from the record's value instead of its offset, because a decoder that gives equal values different versions has no counterpart.

--- a/entry/registry/expiry_test.go
+++ b/entry/registry/expiry_test.go
@@ -68,7 +68,7 @@
 
 // send makes one instance send another what it lacks.
 func (f *fleet) send(from, to int) {
-	for _, b := range f.instances[from].Since(f.instances[to].Heads()) {
+	for _, b := range f.instances[from].Since(f.instances[to].Heads(), nil) {
 		f.instances[to].Merge(b)
 	}
 }
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -44,8 +44,8 @@
 	Statuses map[ticket.ServiceName]Status
 }
 
-// Registry caches the latest record of each key and merges new ones by offset. Merging is
-// commutative and idempotent.
+// Registry caches the latest record of each key. It merges new ones by offset, configurations by
+// revision and then by offset. Merging is commutative and idempotent.
 type Registry struct {
 	// Decode decodes a record. Records for which it returns an error are skipped.
 	Decode func(*Record) (Object, error)
@@ -59,7 +59,12 @@
 
 	mu      sync.Mutex
 	entries map[recordID]*entry
-	heads   map[Feed]Offset
+	// config is the entry of the configuration in force, or nil.
+	config *entry
+	// ignoredConfigUpTo is the highest offset of an ignored record of the configuration that was
+	// logged. Several peers send the same record.
+	ignoredConfigUpTo Offset
+	heads             map[Feed]Offset
 	// listedUpTo is the head of the last full listing merged. Keys deleted before it have
 	// no tombstone here.
 	listedUpTo map[Feed]Offset
@@ -216,18 +221,17 @@
 func (r *Registry) mergeRecord(record *Record, b *Batch, now clock.Millis) bool {
 	key := recordID{b.Feed, record.Key}
 	old := r.entries[key]
-	if old != nil && record.Offset == old.record.Offset {
-		return r.adoptEarlierStart(old, now-record.Age, b.Source)
-	}
-	if old != nil && record.Offset < old.record.Offset {
+	// A peer may still have a key that the full listing lacks.
+	older := old != nil && record.Offset <= old.record.Offset || old == nil && !b.Full && record.Offset < r.listedUpTo[b.Feed]
+	if older && !mayBeConfig(old, record, b.Feed) {
+		if old != nil && record.Offset == old.record.Offset {
+			return r.adoptEarlierStart(old, now-record.Age, b.Source)
+		}
 		return false
 	}
-	if old == nil && !b.Full && record.Offset < r.listedUpTo[b.Feed] {
-		return false // A peer still has a key that the full listing lacks.
-	}
 	next := &entry{record: *record, firstSeen: now - record.Age}
 	next.record.Feed = b.Feed
-	if !record.Deleted || len(record.Value) > 0 {
+	if !record.Deleted || len(record.Value) > 0 && b.Feed == FeedEndpoints {
 		object, err := r.Decode(&next.record)
 		if err != nil {
 			r.logger.Warn("record-skipped", "feed", b.Feed, "key", record.Key, "offset", record.Offset, "source", b.Source, "error", err)
@@ -238,6 +242,12 @@
 		}
 		next.object = object
 	}
+	if next.object.Config != nil || old != nil && old.object.Config != nil {
+		return r.mergeConfig(key, next, b)
+	}
+	if older {
+		return false
+	}
 	if b.Feed == FeedEndpoints {
 		return r.mergeEndpoint(key, old, next, b.Full || b.Compacted, now)
 	}
@@ -249,11 +259,16 @@
 	if old != nil && old.object.ZoneOut != "" && record.Deleted {
 		r.zoneColdUntil[old.object.ZoneOut] = now + r.opts.zoneColdPeriod
 	}
-	r.entries[key] = next
-	r.logger.Info("record-taken", "feed", b.Feed, "key", record.Key, "offset", record.Offset, "gone", record.Deleted, "age-ms", int64(record.Age+b.Age), "source", b.Source)
+	r.take(key, next, b)
 	return true
 }
 
+// take stores an entry from the batch and logs it.
+func (r *Registry) take(key recordID, e *entry, b *Batch) {
+	r.entries[key] = e
+	r.logger.Info("record-taken", "feed", b.Feed, "key", key.key, "offset", e.record.Offset, "gone", e.record.Deleted, "age-ms", int64(e.record.Age+b.Age), "source", b.Source)
+}
+
 // mergeEndpoint merges an endpoint's record. Of several heartbeats in the log with the same
 // content it keeps the first, so that the others are not passed on to peers. A compacted batch
 // may lack a tombstone between them.
@@ -381,8 +396,9 @@
 	}
 }
 
-// Since returns the records after the given heads, oldest first, for another instance.
-func (r *Registry) Since(heads map[Feed]Offset) []Batch {
+// Since returns the records that another instance with the given heads and configuration lacks,
+// oldest first. A nil config means that it is not known which configuration the other one has.
+func (r *Registry) Since(heads map[Feed]Offset, config *ConfigID) []Batch {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Mono()
@@ -405,6 +421,9 @@
 		if known {
 			b.From = min(from, head)
 		}
+		if feed == FeedOrders && config != nil {
+			b.Records = r.withConfig(b.Records, *config, now)
+		}
 		batches = append(batches, b)
 	}
 	return batches
@@ -417,14 +436,19 @@
 		if key.feed != feed || known && e.record.Offset < from {
 			continue
 		}
-		record := e.record
-		record.Age = now - e.firstSeen
-		records = append(records, record)
+		records = append(records, e.recordAt(now))
 	}
 	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	return records
 }
 
+// recordAt returns the entry's record with its age at the given time.
+func (e *entry) recordAt(now clock.Millis) Record {
+	record := e.record
+	record.Age = now - e.firstSeen
+	return record
+}
+
 // rebuild replaces the view with a new one built from all entries.
 func (r *Registry) rebuild() {
 	r.version++
@@ -443,8 +467,6 @@
 			continue
 		}
 		switch {
-		case e.object.Config != nil:
-			s.Config = e.object.Config
 		case e.object.Endpoint != nil:
 			service := e.object.Endpoint.Service
 			s.Endpoints[service] = append(s.Endpoints[service], e.object.Endpoint)
@@ -463,8 +485,8 @@
 			return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartedAt, b.StartedAt))
 		})
 	}
-	if s.Config == nil {
-		s.Config = r.view.Load().Config
+	if r.config != nil {
+		s.Config = r.config.object.Config
 	}
 	r.view.Store(s)
 }
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -137,7 +137,7 @@
 		f := newFixture()
 		f.mergeEndpoints(1, endpointRecord("a", 0, "1 1 ready"))
 		f.mergeEndpoints(9, endpointRecord("a", 8, "1 2 ready"))
-		batches := f.Since(map[Feed]Offset{FeedEndpoints: 1})
+		batches := f.Since(map[Feed]Offset{FeedEndpoints: 1}, nil)
 		So(batches[0].Head, ShouldEqual, 9)
 		So(batches[0].Records, ShouldBeEmpty)
 	})
@@ -168,11 +168,11 @@
 		// "a" is deleted at the store at offset 2. A starting instance lists the store
 		// before the peer's older records arrive.
 		fresh.Merge(Batch{Feed: FeedEndpoints, Full: true, Head: 3, Records: []Record{endpointRecord("b", 1, "1 1 ready")}})
-		for _, b := range stale.Since(nil) {
+		for _, b := range stale.Since(nil, nil) {
 			fresh.Merge(b)
 		}
 		So(fresh.endpointIDs(), ShouldEqual, "b")
-		for _, b := range fresh.Since(stale.Heads()) {
+		for _, b := range fresh.Since(stale.Heads(), nil) {
 			stale.Merge(b)
 		}
 		So(stale.endpointIDs(), ShouldEqual, "b")
--- a/entry/relay/malformed_test.go
+++ b/entry/relay/malformed_test.go
@@ -27,6 +27,7 @@
 	sample := Message{
 		From: Member{Name: "b", Zone: "z", Address: "b", RunID: "1", Capacity: 800}, Members: []MemberEntry{{Member: Member{Name: "c", Zone: "y"}, Age: 3}},
 		WantsMembers: true, ZoneCounts: map[ticket.ZoneName]ZoneCount{"z": {Count: 2, Age: 5}}, Heads: map[registry.Feed]registry.Offset{registry.FeedOrders: 3},
+		Config:      &registry.ConfigID{Revision: 1, End: 3},
 		Batches:     []registry.Batch{{Feed: registry.FeedOrders, Records: []registry.Record{{Feed: registry.FeedOrders, Key: "k", Offset: 2, Value: []byte("x")}}, Head: 3}},
 		OrderStarts: []registry.OrderStart{{Key: "k", Offset: 2, Age: 4}}, Tallies: []tallyRow{{Order: 1, Arm: "to", Class: "r", Rollout: "s", Good: 3, Bad: 1}},
 		Loads: loadlist.Counts{"e": 3}, Failures: loadlist.Counts{"e": 1}, LoadsScope: ScopeOwn, LoadsVersion: 1,
--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -35,6 +35,9 @@
 	heardAt clock.Millis
 	// heads holds the feed heads that the peer last reported.
 	heads map[registry.Feed]registry.Offset
+	// config identifies the configuration that the peer last reported as in force, or is nil if
+	// the peer doesn't report it.
+	config *registry.ConfigID
 	// receivedLoads is the load list received from the peer, sentLoads the one that it
 	// has if all messages sent to it arrived.
 	receivedLoads loadList
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -62,8 +62,11 @@
 	// ZoneCounts holds the number of instances by zone.
 	ZoneCounts map[ticket.ZoneName]ZoneCount `json:"counts,omitempty"`
 	// Heads holds the sender's head of each feed, see registry.Registry.Heads.
-	Heads   map[registry.Feed]registry.Offset `json:"heads,omitempty"`
-	Batches []registry.Batch                  `json:"batches,omitempty"`
+	Heads map[registry.Feed]registry.Offset `json:"heads,omitempty"`
+	// Config identifies the sender's configuration in force. Heads don't tell whether the receiver
+	// has a higher one, because the configuration in force need not be the latest in the log.
+	Config  *registry.ConfigID `json:"config,omitempty"`
+	Batches []registry.Batch   `json:"batches,omitempty"`
 	// OrderStarts holds the starts of orders whose records the receiver already has, where
 	// it may lack the start or have a later one.
 	OrderStarts []registry.OrderStart `json:"begins,omitempty"`
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -155,7 +155,8 @@
 
 // newMessage builds the next message for a peer and marks its contents as sent.
 func (r *Relay) newMessage(to string, now clock.Millis, withMembers bool) *Message {
-	m := &Message{Heads: r.deps.Registry.Heads()}
+	config := r.deps.Registry.ConfigID()
+	m := &Message{Heads: r.deps.Registry.Heads(), Config: &config}
 	local := r.LocalLoads() // The callback may call methods of this Relay, so no lock is held.
 	r.members.mu.Lock()
 	m.From = r.members.self
@@ -170,7 +171,7 @@
 		m.Holds = r.holds.unsent(&p.holdsSent)
 		m.LeavingEndpoints = r.leavingEndpoints.unsent(&p.leavingSent)
 		if p.heads != nil {
-			m.Batches = r.deps.Registry.Since(p.heads)
+			m.Batches = r.deps.Registry.Since(p.heads, p.config)
 			m.OrderStarts = p.unsentOrderStarts(r.deps.Registry.OrderStarts(), now)
 		}
 	}
@@ -215,6 +216,7 @@
 		if p.heads == nil {
 			p.heads = map[registry.Feed]registry.Offset{}
 		}
+		p.config = m.Config
 		p.receiveOrderStarts(m.OrderStarts, now)
 		if p.receiveLoads(m, now) {
 			others = r.otherLoads(p, now)
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -50,6 +51,9 @@
 	// ordersHead is the head of the orders feed at the store, rollout the offset of the
 	// roll-out order in it, or 0.
 	ordersHead, rollout atomic.Int64
+	// lateConfig is the offset of a record of the configuration that was written late, or 0. Its
+	// revision is two lower than its offset; that of all others is their offset.
+	lateConfig atomic.Int64
 	// delay is the latency of requests.
 	delay time.Duration
 	// runs counts the starts of each instance.
@@ -111,7 +115,11 @@
 		if r.Key == "rollout" {
 			return registry.Object{Order: &catalog.Order{Number: catalog.OrderNumber(r.Offset), Service: "s", Target: "v2", Duration: orderDuration}}, nil
 		}
-		return registry.Object{Config: catalog.NewConfig(catalog.Revision(r.Offset), nil, nil, nil, false, catalog.Limits{})}, nil
+		revision, err := strconv.Atoi(string(r.Value))
+		if err != nil {
+			return registry.Object{}, err
+		}
+		return registry.Object{Config: catalog.NewConfig(catalog.Revision(revision), nil, nil, nil, false, catalog.Limits{})}, nil
 	}
 	f.runs[name]++
 	relay := New(Member{Name: name, Zone: zone, Address: name, RunID: fmt.Sprint(f.runs[name])}, seeds, Dependencies{
@@ -156,7 +164,11 @@
 	if feed == registry.FeedOrders {
 		b.Head = registry.Offset(f.ordersHead.Load())
 		if b.Head > from {
-			b.Records = []registry.Record{{Feed: feed, Key: "config", Offset: b.Head - 1, Value: []byte("x")}}
+			revision := int64(b.Head - 1)
+			if at := f.lateConfig.Load(); at > 0 && revision == at {
+				revision -= 2
+			}
+			b.Records = []registry.Record{{Feed: feed, Key: "config", Offset: b.Head - 1, Value: []byte(strconv.FormatInt(revision, 10))}}
 		}
 		if at := registry.Offset(f.rollout.Load()); at > 0 && at >= from {
 			b.Records = slices.Insert(b.Records, 0, registry.Record{Feed: feed, Key: "rollout", Offset: at, Value: []byte("x")})
--- a/policy/catalog/catalog.go
+++ b/policy/catalog/catalog.go
@@ -14,7 +14,8 @@
 type (
 	// RouteName identifies a route.
 	RouteName string
-	// Revision is the revision number of a configuration; it only increases.
+	// Revision is the revision number of a configuration. The operator only increases it, in
+	// uneven steps; the highest one is in force.
 	Revision int64
 	// Release is the software version that an endpoint runs.
 	Release string
