--- a/link/telemetry/async_writer.go
+++ b/link/telemetry/async_writer.go
@@ -19,9 +19,8 @@
 	maxLineBytes = 4 << 10
 	// truncationMark ends a line that was longer.
 	truncationMark = "...\n"
-	// closeTimeout limits how long Close waits for the output; it fits into the part of
-	// the grace period that the rest of the shutdown leaves.
-	closeTimeout = 500 * time.Millisecond
+	// DefaultCloseTimeout limits how long Close waits for the output.
+	DefaultCloseTimeout = 500 * time.Millisecond
 )
 
 // AsyncWriter is a writer that never blocks: lines are queued, truncated if they are too long, and
@@ -95,12 +94,17 @@
 	_, _ = output.Write(line) // A failed log write can't be reported anywhere else.
 }
 
-// Close writes the queued lines, giving up after closeTimeout. Lines written after Close
-// are lost.
+// Close writes the queued lines, giving up after DefaultCloseTimeout. Lines written after
+// Close are lost.
 func (w *AsyncWriter) Close() {
+	w.CloseWithin(DefaultCloseTimeout)
+}
+
+// CloseWithin is like Close with another timeout, for a process that has to exit in time.
+func (w *AsyncWriter) CloseWithin(timeout time.Duration) {
 	close(w.quit)
 	select {
 	case <-w.done:
-	case <-time.After(closeTimeout):
+	case <-time.After(timeout):
 	}
 }
--- a/link/telemetry/async_writer_test.go
+++ b/link/telemetry/async_writer_test.go
@@ -22,7 +22,7 @@
 }
 
 // closeDrained closes w and waits until the output has all lines: Close itself gives up after
-// closeTimeout.
+// DefaultCloseTimeout.
 func closeDrained(w *AsyncWriter) {
 	w.Close()
 	<-w.done
