instance: Wait for the stopped requests before the last flush

What callers saw: after a planned stop of the program entry during which a request outlasted drain-ms, other instances could find its claim without an outcome, as if it was still running.

Cause: Shutdown called StopWaiting and then Claimer.Flush while the stopped requests were still recording their outcomes, with a context that was already done after a drain that timed out.

Change: after StopWaiting, Shutdown waits up to 1 s until no request is in flight. Bills, outcomes and the release of the gate then get up to 2 s of their own.

Evidence: TestOutcomeAfterDrainIsFlushed failed before the change in its first row. TestShutdownAfterDrainIsBounded checks the bounds and passed before as well.

--- a/entry/instance/instance.go
+++ b/entry/instance/instance.go
@@ -187,7 +187,8 @@
 
 // Shutdown ends the instance gracefully: it stops accepting requests, drains in-flight
 // requests, makes bills durable and releases the gate. It reports whether all in-flight
-// requests completed before ctx was done.
+// requests completed before ctx was done. If not, it takes at most stoppedTimeout and
+// lateFlushTimeout longer than ctx.
 func (i *Instance) Shutdown(ctx context.Context) bool {
 	i.shuttingDown.Store(true)
 	i.logger.Info("shutdown-began", "active", i.Router.InFlight())
@@ -195,6 +196,10 @@
 	drained := i.Router.Drain(ctx)
 	if !drained {
 		i.Router.StopWaiting()
+		i.awaitStopped(ctx)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), lateFlushTimeout.Duration())
+		defer cancel()
 	}
 	for i.Ledger.Unsettled() > 0 && ctx.Err() == nil {
 		if i.Ledger.HandOverAll(ctx) {
@@ -213,7 +218,22 @@
 	return drained
 }
 
+// awaitStopped waits until the requests that outlasted the drain have recorded their outcomes;
+// ctx may be done.
+func (i *Instance) awaitStopped(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stoppedTimeout.Duration())
+	defer cancel()
+	if !i.Router.Drain(ctx) {
+		i.logger.Warn("not-stopped", "active", i.Router.InFlight())
+	}
+}
+
 const (
+	// stoppedTimeout limits the wait for requests whose wait was ended; they take a few ms.
+	stoppedTimeout = clock.Second
+	// lateFlushTimeout limits the work after a drain that timed out: bills, the outcomes of
+	// claims and the release of the gate.
+	lateFlushTimeout   = 2 * clock.Second
 	settlePollInterval = 50 * clock.Millis(1)
 	// flushTimeout limits the wait for work that is only an optimization: if the
 	// outcomes of claims or the release of the gate are lost, peers have to ask or wait.
--- a/entry/promises/answer_test.go
+++ b/entry/promises/answer_test.go
@@ -244,6 +244,84 @@
 	}
 }
 
+// TestOutcomeAfterDrainIsFlushed guards against a planned stop that doesn't wait for the requests
+// that outlasted its drain: their outcomes were recorded after the last flush, or that flush ended
+// at once, so that the claims stayed without an outcome for all other instances.
+func TestOutcomeAfterDrainIsFlushed(t *testing.T) {
+	rows := []struct {
+		name string
+		// appendDelay is how long the log takes to append an outcome.
+		appendDelay clock.Millis
+	}{
+		{"the log appends at once", 0},
+		{"the log appends slowly", 400},
+	}
+	for _, row := range rows {
+		runInEnv(t, row.name, instance.Options{}, func(env *testEnv) {
+			env.service("stock-a", "a", "stock").SetFaults(service.Faults{Delay: 4000})
+			a, b := env.node("node-a", "a"), env.node("node-b", "b")
+			env.publish(baseTicket)
+			env.advance(2 * time.Second)
+			answered := make(chan *reply, 1)
+			go func() { answered <- a.refund(env.newKey(1), "{}") }()
+			env.advance(500 * time.Millisecond)
+			env.log.SetFaults(applog.Faults{Delay: row.appendDelay})
+			drainCtx, cancel := withTimeout(a.ctx, 2500*time.Millisecond)
+			defer cancel()
+			So(a.Shutdown(drainCtx), ShouldBeFalse)
+			a.kill()
+			got := <-answered
+			So(got.code, ShouldEqual, "draining")
+			env.advance(time.Second)
+			entry, ok := b.Claims.Lookup(got.requestID)
+			So(ok, ShouldBeTrue)
+			So(entry.Outcome.State, ShouldEqual, claim.StateUnknown)
+		})
+	}
+}
+
+// TestShutdownAfterDrainIsBounded guards against a planned stop that waits without a bound after its
+// drain, for the log or for a request that doesn't end.
+func TestShutdownAfterDrainIsBounded(t *testing.T) {
+	const drainTimeout, extra = 2500 * time.Millisecond, 3 * time.Second
+	rows := []struct {
+		name string
+		// stuck is true if the request doesn't end when it is stopped.
+		stuck  bool
+		faults applog.Faults
+	}{
+		{"the log is down", false, applog.Faults{Outage: true}},
+		{"a request does not end", true, applog.Faults{}},
+		{"a request does not end and the log is down", true, applog.Faults{Outage: true}},
+	}
+	for _, row := range rows {
+		runInEnv(t, row.name, instance.Options{}, func(env *testEnv) {
+			env.service("stock-a", "a", "stock").SetFaults(service.Faults{Delay: 4000})
+			a := env.node("node-a", "a")
+			env.publish(baseTicket)
+			env.advance(2 * time.Second)
+			if row.stuck {
+				a.Router.OnStep = func(step router.Step, _ claim.RequestID) {
+					if step == router.StepDispatched {
+						time.Sleep(time.Minute)
+					}
+				}
+			}
+			answered := make(chan *reply, 1)
+			go func() { answered <- a.refund(env.newKey(1), "{}") }()
+			env.advance(500 * time.Millisecond)
+			env.log.SetFaults(row.faults)
+			drainCtx, cancel := withTimeout(a.ctx, drainTimeout)
+			defer cancel()
+			start := env.clock.Mono()
+			So(a.Shutdown(drainCtx), ShouldBeFalse)
+			So((env.clock.Mono() - start).Duration(), ShouldBeLessThanOrEqualTo, drainTimeout+extra)
+			a.kill()
+			<-answered
+		})
+	}
+}
+
 // startPoisonable starts two instances and five engines that crash on a poison request.
 func (env *testEnv) startPoisonable() (a, b *node) {
 	for i := range 5 {
