claims: Let outcomes be recorded while Flush waits

What callers saw: nothing. Flush waited on a sync.WaitGroup, which must not be added to from 0 while others wait. Outcomes of abandoned claims are recorded when their records are read from the log, which goes on until after the flush of a planned stop, so that waiting for the requests alone doesn't rule that out.

--- a/entry/claims/claims.go
+++ b/entry/claims/claims.go
@@ -61,8 +61,7 @@
 	// with an unsafe variant for tests.
 	confirm func(ctx context.Context, p *partition, record claim.Record, appended <-chan error) (claim.Entry, error)
 
-	// pendingOutcomes counts the outcome records that aren't in the log yet.
-	pendingOutcomes sync.WaitGroup
+	pending pendingOutcomes
 
 	mu sync.Mutex
 	// abandoned contains the claims that must not run even if they win.
@@ -311,20 +310,11 @@
 	if err != nil {
 		return
 	}
-	c.pendingOutcomes.Go(func() { c.appendDone(p, data) })
-}
-
-// Flush waits until all recorded outcomes are in the log, or ctx is done.
-func (c *Claimer) Flush(ctx context.Context) {
-	flushed := make(chan struct{})
+	c.pending.add()
 	go func() {
-		c.pendingOutcomes.Wait()
-		close(flushed)
+		defer c.pending.done()
+		c.appendDone(p, data)
 	}()
-	select {
-	case <-flushed:
-	case <-ctx.Done():
-	}
 }
 
 // appendDone appends an outcome record, with retries for up to claimRetention.
