policy/budget: Account for memory and connections of clients

A Budget accounts for what the clients of one listener take: the memory of connections, requests, forwarding and responses, and the number of connections and of forwarded requests. When one of them is short it names the reservations to evict: for memory the request that has made no progress for the longest time (a second at least), then idle connections, connections that have sent nothing, and the slowest request; for connections the idle ones first. A forwarded request is never evicted, and no request in favour of a slower one. If not enough can be evicted, nothing is.

Nothing uses the package yet.

A rapid test checks on random sequences that the usage is the sum of the open reservations and stays within the limits.

--- /dev/null
+++ b/policy/budget/budget_test.go
@@ -0,0 +1,241 @@
+package budget
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"foxtailbridge/policy/clock"
+)
+
+const kb = 1 << 10
+
+// testBudget opens reservations by name.
+type testBudget struct {
+	*Budget
+	names map[*Reservation]string
+}
+
+func newTestBudget(l Limits) *testBudget {
+	return &testBudget{New(l), map[*Reservation]string{}}
+}
+
+func (b *testBudget) open(name string, now clock.Millis) *Reservation {
+	r := &Reservation{}
+	b.names[r] = name
+	if _, ok := b.Open(r, kb, now); !ok {
+		panic("no room for " + name)
+	}
+	return r
+}
+
+func (b *testBudget) nameAll(list []*Reservation) []string {
+	var names []string
+	for _, r := range list {
+		names = append(names, b.names[r])
+	}
+	return names
+}
+
+// request opens a reservation whose request has received and reserved n bytes.
+func (b *testBudget) request(name string, n Bytes, begin, progress clock.Millis) *Reservation {
+	r := b.open(name, begin)
+	b.Begin(r, begin)
+	if _, ok := b.Reserve(r, n, begin); !ok {
+		panic("no room for " + name)
+	}
+	b.Progress(r, n, progress)
+	return r
+}
+
+// TestEvictionOrder guards against evicting a connection whose request runs, or an ordinary
+// caller's connection while that of a misbehaving client stays.
+func TestEvictionOrder(t *testing.T) {
+	const now = 10 * clock.Second
+	fill := func(b *testBudget) {
+		b.request("forwarded", kb, 0, 0)
+		for r, name := range b.names {
+			if name == "forwarded" {
+				b.Forward(r, 0, 0)
+			}
+		}
+		b.request("stalled", 20*kb, 7000, 8000)
+		b.request("stalled longer", 20*kb, 7500, 7600)
+		b.request("slow", 20*kb, 0, now-1)
+		b.request("fast", 20*kb, now-1, now-1)
+		b.open("new", 3000)
+		b.open("newer", 5000)
+		for name, since := range map[string]clock.Millis{"idle": 4000, "idle longer": 2000} {
+			r := b.open(name, 0)
+			b.Begin(r, 0)
+			b.End(r, since)
+		}
+	}
+	rows := []struct {
+		name   string
+		limits Limits
+		order  []string
+	}{
+		{"connections", Limits{Connections: 9}, []string{"idle longer", "idle", "new", "newer", "stalled longer", "stalled", "slow"}},
+		{"memory", Limits{Bytes: 90 * kb}, []string{"stalled longer", "stalled", "idle longer", "idle", "new", "newer", "slow"}},
+	}
+	Convey("Reservations are evicted in order; a forwarded request and one that is as fast as the new one stay", t, func() {
+		for _, row := range rows {
+			b := newTestBudget(row.limits)
+			fill(b)
+			var got []string
+			for {
+				r := &Reservation{}
+				connection := Bytes(kb)
+				if row.limits.Bytes > 0 {
+					connection = b.limits.Bytes - b.usage.Bytes + 1 // One byte too much: it evicts one.
+				}
+				victims, ok := b.Open(r, connection, now)
+				if !ok {
+					break
+				}
+				got = append(got, b.nameAll(victims)...)
+				b.Close(r)
+				if row.limits.Connections > 0 {
+					b.limits.Connections--
+				}
+			}
+			SoMsg(row.name, got, ShouldResemble, row.order)
+		}
+	})
+}
+
+func TestReserve(t *testing.T) {
+	Convey("Large requests can't use the part that is set aside for small ones", t, func() {
+		b := newTestBudget(Limits{Bytes: 1000 * kb, Large: 500 * kb})
+		b.request("large", 400*kb, 0, 0)
+		second := b.request("second", 60*kb, 0, 0)
+		_, ok := b.Reserve(second, 60*kb, 0)
+		So(ok, ShouldBeFalse)
+		So(b.Usage().Large, ShouldEqual, 400*kb)
+		for range 8 {
+			b.request("small", 50*kb, 0, 0)
+		}
+		Convey("and one that has stalled is evicted for another", func() {
+			victims, ok := b.Reserve(second, 60*kb, 2*clock.Second)
+			So(ok, ShouldBeTrue)
+			So(b.nameAll(victims), ShouldResemble, []string{"large"})
+		})
+	})
+	Convey("A request that can't fit evicts nothing", t, func() {
+		b := newTestBudget(Limits{Bytes: 100 * kb})
+		b.request("stalled", 20*kb, 0, 0)
+		r := b.request("forwarded", 50*kb, 0, 0)
+		_, ok := b.Forward(r, 0, 0)
+		So(ok, ShouldBeTrue)
+		before := b.Usage()
+		victims, ok := b.Reserve(b.open("new", 9000), 60*kb, 9000)
+		So(ok, ShouldBeFalse)
+		So(victims, ShouldBeEmpty)
+		before.Connections, before.Bytes = before.Connections+1, before.Bytes+kb
+		So(b.Usage(), ShouldResemble, before)
+	})
+	Convey("A slow request isn't replaced by an even slower one", t, func() {
+		b := newTestBudget(Limits{Bytes: 100 * kb})
+		b.request("faster", 60*kb, 0, 4999)
+		slower := b.request("slower", 30*kb, 0, 4999)
+		_, ok := b.Reserve(slower, 20*kb, 5000)
+		So(ok, ShouldBeFalse)
+	})
+	Convey("A connection whose next request has arrived isn't evicted as an idle one", t, func() {
+		b := newTestBudget(Limits{Connections: 2})
+		arrived := b.open("arrived", 0)
+		b.open("idle", 1)
+		b.Arrived = func(r *Reservation) bool { return r == arrived }
+		victims, ok := b.Open(&Reservation{}, kb, 10)
+		So(ok, ShouldBeTrue)
+		So(b.nameAll(victims), ShouldResemble, []string{"idle"})
+	})
+	Convey("The end of a request releases its memory, and a response has a bound of its own", t, func() {
+		b := newTestBudget(Limits{Bytes: 100 * kb, Responses: 10 * kb, Forwarded: 1})
+		r := b.request("r", 50*kb, 0, 0)
+		_, ok := b.Forward(r, 10*kb, 0)
+		So(ok, ShouldBeTrue)
+		_, ok = b.Forward(b.open("second", 0), kb, 0)
+		So(ok, ShouldBeFalse)
+		So(b.ReserveResponse(r, 8*kb), ShouldBeTrue)
+		So(b.ReserveResponse(r, 8*kb), ShouldBeFalse)
+		b.End(r, 1)
+		So(b.Usage(), ShouldResemble, Usage{Bytes: 2 * kb, Connections: 2})
+		b.Close(r)
+		b.Close(r)
+		So(b.Usage(), ShouldResemble, Usage{Bytes: kb, Connections: 1})
+	})
+}
+
+// TestUsage checks on random sequences that the usage is the sum of the open reservations and
+// within the limits, and that no forwarded request is evicted.
+func TestUsage(t *testing.T) {
+	t.Run("random sequences", rapid.MakeCheck(func(t *rapid.T) {
+		limits := Limits{Bytes: 1000 * kb, Large: 700 * kb, Responses: 100 * kb, Connections: 12, Forwarded: 5}
+		b := New(limits)
+		var all []*Reservation
+		now := clock.Millis(0)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 700).Draw(t, "ms"))
+			n := Bytes(rapid.IntRange(0, 300).Draw(t, "kb")) * kb
+			var r *Reservation
+			if len(all) > 0 {
+				r = all[rapid.IntRange(0, len(all)-1).Draw(t, "reservation")]
+			}
+			forwarded := map[*Reservation]bool{}
+			for _, other := range all {
+				forwarded[other] = other.Phase() == PhaseForwarded
+			}
+			var victims []*Reservation
+			switch action := rapid.IntRange(0, 8).Draw(t, "action"); {
+			case action == 0 || r == nil:
+				r = &Reservation{}
+				all = append(all, r)
+				victims, _ = b.Open(r, 10*kb, now)
+			case r.Phase() == PhaseClosed:
+			case action == 1:
+				b.Begin(r, now)
+			case action == 2:
+				b.Progress(r, n, now)
+			case action == 3 && r.Phase() == PhaseActive:
+				victims, _ = b.Reserve(r, n, now)
+			case action == 4:
+				b.Release(r, n)
+			case action == 5 && r.Phase() == PhaseActive:
+				victims, _ = b.Forward(r, 32*kb, now)
+			case action == 6 && r.Phase() == PhaseForwarded:
+				b.ReserveResponse(r, n)
+			case action == 7:
+				b.End(r, now)
+			case action == 8:
+				b.Close(r)
+			}
+			for _, victim := range victims {
+				if forwarded[victim] || victim.Phase() != PhaseClosed {
+					t.Fatalf("evicted in phase %s, forwarded %v", victim.Phase(), forwarded[victim])
+				}
+			}
+			var sum Usage
+			for _, r := range all {
+				if r.Phase() == PhaseClosed {
+					continue
+				}
+				sum.Connections++
+				sum.Bytes += r.connection + r.request + r.work
+				sum.Responses += r.response
+				if r.large() {
+					sum.Large += r.request
+				}
+				if r.Phase() == PhaseForwarded {
+					sum.Forwarded++
+				}
+			}
+			if u := b.Usage(); u != sum || u.Bytes > limits.Bytes || u.Large > limits.Large || u.Responses > limits.Responses ||
+				u.Connections > limits.Connections || u.Forwarded > limits.Forwarded {
+				t.Fatalf("usage %+v, sum %+v, limits %+v", u, sum, limits)
+			}
+		}
+	}))
+}
