--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -51,6 +51,9 @@
 	Session string
 	// LastEventID is the last event that the caller already has, or "".
 	LastEventID EventID
+	// ReserveResponse reserves memory for a response until the request ends; it returns false
+	// if there is none. It may be nil.
+	ReserveResponse func(bytes int) bool
 }
 
 func (r *Request) hash() uint64 {
