link/socket: Bound the memory and the connections of a listener

A process accepted connections until it had no descriptors left, and read whatever they sent. A ConnTracker with Bounds reserves what a connection takes before it holds it:

- a new connection, which at the bound closes the one that has been idle longest, then one that has sent nothing, then the slowest that is sending a request; if none can be closed it gets 503;
- a request's header while it is read, before net/http parses it, by its bytes and lines, because short fields take many times their size;
- what the handler reserves through the RequestBudget of the request's context, and for listeners without such a handler the whole body.

A request that was forwarded is never ended for another. An idle connection whose next request has arrived isn't closed. A handler that reads a body whose memory is needed gets os.ErrDeadlineExceeded and can answer 408. A connection whose request wasn't read completely stays open for 500 ms after the response, as closing it at once would reset it and could destroy the refusal. All of this is guarded by the tracker's lock, which each read took already; there are no further goroutines.

ListenBounded clamps the receive window, so that the kernel holds 64 KB of a connection that isn't read instead of 128 KB or more.

Trackers without Bounds, as those of the program entry, work as before.

--- /dev/null
+++ b/link/socket/bounds_test.go
@@ -0,0 +1,250 @@
+package socket
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"foxtailbridge/policy/budget"
+	"foxtailbridge/policy/clock"
+)
+
+// serveBounded serves a handler over connections with limits.
+func serveBounded(t *testing.T, limits budget.Limits, handler http.HandlerFunc) *fixture {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{tracker: NewConnTracker(), addr: l.Addr().String()}
+	f.tracker.SetBounds(Bounds{Budget: budget.New(limits), Now: clock.New().Mono})
+	f.server = &http.Server{Handler: handler, ConnState: f.tracker.ConnState, ConnContext: ConnContext}
+	tracked := f.tracker.Listener(l)
+	go func() { _ = f.server.Serve(tracked) }() // Closed by the cleanup.
+	t.Cleanup(func() { f.server.Close() })
+	return f
+}
+
+// await waits until the usage fulfils a condition.
+func (f *fixture) await(t *testing.T, what string, condition func(budget.Usage) bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		usage, closes := f.tracker.Usage()
+		if condition(usage) {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: usage %+v, closed %v", what, usage, closes)
+		}
+	}
+}
+
+// isClosed reports whether the server closes the connection.
+func isClosed(r *bufio.Reader) bool {
+	_, err := r.ReadByte()
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// TestConnectionBound guards against connections that use up all descriptors: at the bound the
+// server accepts none, so that ordinary callers aren't served.
+func TestConnectionBound(t *testing.T) {
+	release := make(chan struct{})
+	f := serveBounded(t, budget.Limits{Connections: 3}, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			RequestBudgetOf(r.Context()).Forward()
+			<-release
+		}
+	})
+	forwarded, forwardedReader := f.dial(t)
+	if _, err := io.WriteString(forwarded, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	f.await(t, "forwarded", func(u budget.Usage) bool { return u.Forwarded == 1 })
+	_, silentReader := f.dial(t)
+	f.await(t, "two connections", func(u budget.Usage) bool { return u.Connections == 2 })
+	idle, idleReader := f.dial(t)
+	sendRequest(t, idle)
+	if !readResponse(idleReader) {
+		t.Fatal("no response on the third connection")
+	}
+	f.await(t, "idle", func(budget.Usage) bool {
+		f.tracker.mu.Lock()
+		defer f.tracker.mu.Unlock()
+		return f.tracker.counts[phaseIdle] == 1
+	})
+	second, _ := f.dial(t)
+	if !isClosed(idleReader) {
+		t.Error("the idle connection was not closed")
+	}
+	if _, err := io.WriteString(second, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	f.await(t, "second forwarded", func(u budget.Usage) bool { return u.Forwarded == 2 })
+	third, thirdReader := f.dial(t)
+	if !isClosed(silentReader) {
+		t.Error("the connection that had sent nothing was not closed")
+	}
+	sendRequest(t, third)
+	if !readResponse(thirdReader) {
+		t.Error("no response on a new connection")
+	}
+	close(release)
+	if !readResponse(forwardedReader) {
+		t.Error("a forwarded request has no response")
+	}
+}
+
+// TestNoRoomForConnection guards against closing a forwarded request's connection in favour of a
+// new one. The new one gets a refusal.
+func TestNoRoomForConnection(t *testing.T) {
+	release := make(chan struct{})
+	f := serveBounded(t, budget.Limits{Connections: 1}, func(_ http.ResponseWriter, r *http.Request) {
+		RequestBudgetOf(r.Context()).Forward()
+		<-release
+	})
+	forwarded, forwardedReader := f.dial(t)
+	sendRequest(t, forwarded)
+	f.await(t, "forwarded", func(u budget.Usage) bool { return u.Forwarded == 1 })
+	_, reader := f.dial(t)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" || !response.Close {
+		t.Errorf("response %+v, error %v", response, err)
+	}
+	close(release)
+	if !readResponse(forwardedReader) {
+		t.Error("the forwarded request has no response")
+	}
+}
+
+// TestHeaderReservation guards against headers of many short fields, which take many times their
+// size in memory once they are parsed.
+func TestHeaderReservation(t *testing.T) {
+	f := serveBounded(t, budget.Limits{Bytes: 1 << 20}, func(http.ResponseWriter, *http.Request) {})
+	rows := []struct {
+		name   string
+		fields int
+		status int
+	}{
+		{"more fields than fit", 4000, http.StatusServiceUnavailable},
+		{"fields that fit", 1000, http.StatusOK},
+	}
+	for _, row := range rows {
+		conn, reader := f.dial(t)
+		if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:b\r\n", row.fields)+"\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil || response.StatusCode != row.status {
+			t.Errorf("%s: response %+v, error %v, want %d", row.name, response, err, row.status)
+		}
+		conn.Close()
+	}
+	f.await(t, "everything released", func(u budget.Usage) bool { return u == budget.Usage{} })
+}
+
+// TestPipelinedHeader guards against the headers of pipelined requests, which are in the server's
+// buffer and need no further read, being parsed without a reservation.
+func TestPipelinedHeader(t *testing.T) {
+	var reserved []budget.Bytes
+	var f *fixture
+	f = serveBounded(t, budget.Limits{Bytes: 4 << 20}, func(http.ResponseWriter, *http.Request) {
+		usage, _ := f.tracker.Usage()
+		reserved = append(reserved, usage.Bytes)
+	})
+	conn, reader := f.dial(t)
+	if _, err := io.WriteString(conn, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:b\r\n", 200)+"\r\n", 2)); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if !readResponse(reader) {
+			t.Fatal("no response")
+		}
+	}
+	for i, n := range reserved {
+		if n < 200*headLineBytes {
+			t.Errorf("request %d: %d bytes are reserved", i, n)
+		}
+	}
+}
+
+// TestEvictedBody guards against a body that stops short and keeps its memory: the read must end
+// so that the handler can answer, and the memory is free for another request.
+func TestEvictedBody(t *testing.T) {
+	const size = 60 << 10
+	f := serveBounded(t, budget.Limits{Bytes: 120 << 10}, func(w http.ResponseWriter, r *http.Request) {
+		memory := RequestBudgetOf(r.Context())
+		if !memory.Reserve(size) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		memory.BeginBody()
+		_, err := io.Copy(io.Discard, r.Body)
+		memory.EndBody()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			w.WriteHeader(http.StatusRequestTimeout)
+		}
+	})
+	stalled, stalledReader := f.dial(t)
+	if _, err := io.WriteString(stalled, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n12345"); err != nil {
+		t.Fatal(err)
+	}
+	f.await(t, "the body is read", func(u budget.Usage) bool { return u.Bytes > size })
+	time.Sleep(1100 * time.Millisecond) // The time without progress after which it may be evicted.
+	conn, reader := f.dial(t)
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n1234567890"); err != nil {
+		t.Fatal(err)
+	}
+	if !readResponse(reader) {
+		t.Error("the second request is not served")
+	}
+	response, err := http.ReadResponse(stalledReader, nil)
+	if err != nil || response.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("response %+v, error %v to the body that stopped", response, err)
+	}
+	if _, closes := f.tracker.Usage(); closes[CloseSending] != 1 {
+		t.Errorf("closed: %v", closes)
+	}
+}
+
+// TestRefusalArrives guards against a refusal that the client can't read, because closing a
+// connection with unread data resets it.
+func TestRefusalArrives(t *testing.T) {
+	f := serveBounded(t, budget.Limits{Bytes: 1 << 20}, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close")
+		RequestBudgetOf(r.Context()).StopReading()
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	conn, reader := f.dial(t)
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n"+strings.Repeat("b", 50000)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("response %+v, error %v", response, err)
+	}
+	f.await(t, "the connection is closed", func(u budget.Usage) bool { return u == budget.Usage{} })
+}
+
+// TestPanicReleases guards against a handler that panics and keeps its reservation.
+func TestPanicReleases(t *testing.T) {
+	f := serveBounded(t, budget.Limits{Bytes: 1 << 20, Responses: 1 << 20}, func(_ http.ResponseWriter, r *http.Request) {
+		memory := RequestBudgetOf(r.Context())
+		if !memory.Reserve(1000) || !memory.Forward() || !memory.ReserveResponse(1000) {
+			t.Error("no room")
+		}
+		panic(http.ErrAbortHandler)
+	})
+	conn, reader := f.dial(t)
+	sendRequest(t, conn)
+	if !isClosed(reader) {
+		t.Error("the connection is open")
+	}
+	f.await(t, "everything released", func(u budget.Usage) bool { return u == budget.Usage{} })
+}
--- a/link/socket/conn_tracker.go
+++ b/link/socket/conn_tracker.go
@@ -22,6 +22,9 @@
 	firstRequestTimedOut bool
 	// idle is created by Drain, and closed when no request is in flight or expected.
 	idle chan struct{}
+	// bounds limits what connections take, if its Budget isn't nil.
+	bounds Bounds
+	closes map[CloseReason]int64
 }
 
 // firstRequestTimeout is how long a drain waits for the first request of a new connection:
@@ -30,7 +33,7 @@
 
 // NewConnTracker returns a ConnTracker without connections.
 func NewConnTracker() *ConnTracker {
-	return &ConnTracker{conns: map[*trackedConn]bool{}, counts: map[phase]int{}}
+	return &ConnTracker{conns: map[*trackedConn]bool{}, counts: map[phase]int{}, closes: map[CloseReason]int64{}}
 }
 
 // trackedConn is an accepted connection.
@@ -38,6 +41,7 @@
 	net.Conn
 	tracker *ConnTracker
 	phase   phase // Guarded by tracker.mu.
+	bounded boundedConn
 }
 
 // phase is the state of a connection.
@@ -70,21 +74,34 @@
 	tracker *ConnTracker
 }
 
-// Accept waits for the next connection and tracks it.
+// Accept waits for the next connection for which there is room, and tracks it.
 func (l *trackedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if tc := l.tracker.track(conn); tc != nil {
+			return tc, nil
+		}
+		refuseConn(conn)
+	}
+}
+
+// track adds a connection, or returns nil if there is no room for it.
+func (c *ConnTracker) track(conn net.Conn) *trackedConn {
+	tc := &trackedConn{Conn: conn, tracker: c}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !tc.open() {
+		return nil
 	}
-	tc := &trackedConn{Conn: conn, tracker: l.tracker}
-	l.tracker.mu.Lock()
-	defer l.tracker.mu.Unlock()
-	l.tracker.conns[tc] = true
+	c.conns[tc] = true
 	tc.setPhase(phaseNew)
-	if l.tracker.firstRequestTimedOut {
+	if c.firstRequestTimedOut {
 		tc.interruptRead()
 	}
-	return tc, nil
+	return tc
 }
 
 // Read reads from the connection and marks a request as in flight. Data that arrives
@@ -97,13 +114,25 @@
 	if n == 0 {
 		return n, err
 	}
+	if ok, refuse := tc.received(p[:n]); !ok {
+		if refuse {
+			writeRefusal(tc.Conn)
+		}
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+	}
+	return n, err
+}
+
+// received marks a request as in flight and accounts for what was read. It returns false if
+// the connection must not be read any further; refuse says that the client has to be told.
+func (tc *trackedConn) received(data []byte) (ok, refuse bool) {
 	tc.tracker.mu.Lock()
 	defer tc.tracker.mu.Unlock()
 	if tc.phase == phaseClosed {
-		return 0, net.ErrClosed
+		return false, false
 	}
 	tc.markBusy()
-	return n, err
+	return tc.reserveRead(data)
 }
 
 // markBusy marks a request as in flight, even on a connection whose read was interrupted;
@@ -135,6 +164,9 @@
 // CloseWrite closes the write side. The HTTP server calls it before it closes a connection
 // whose request it has not read completely.
 func (tc *trackedConn) CloseWrite() error {
+	tc.tracker.mu.Lock()
+	tc.bounded.writeClosed = true
+	tc.tracker.mu.Unlock()
 	if half, ok := tc.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -158,11 +190,11 @@
 	return false
 }
 
-// SetReadDeadline sets the deadline, but doesn't override that of an interrupted read.
+// SetReadDeadline sets the deadline, but doesn't override that of an interrupted or stopped read.
 func (tc *trackedConn) SetReadDeadline(t time.Time) error {
 	tc.tracker.mu.Lock()
 	defer tc.tracker.mu.Unlock()
-	if tc.phase == phaseInterrupted {
+	if tc.phase == phaseInterrupted || tc.bounded.readStopped {
 		return nil
 	}
 	return tc.Conn.SetReadDeadline(t)
@@ -180,14 +212,20 @@
 	case http.StateActive:
 		if tc.phase != phaseClosed {
 			tc.markBusy() // A pipelined request may already be buffered, so that it needs no further read.
+			tc.headRead()
 		}
 		return
 	case http.StateIdle:
+		if tc.phase == phaseClosed {
+			return // Evicted; the server notices it at the next read.
+		}
 		tc.setPhase(phaseIdle)
+		tc.requestEnded()
 		if c.draining {
 			tc.close()
 		}
 	case http.StateClosed, http.StateHijacked:
+		tc.released()
 		if c.conns[tc] {
 			c.counts[tc.phase]--
 			delete(c.conns, tc)
@@ -201,6 +239,7 @@
 // close closes a connection without a request in flight; the caller holds the lock.
 func (tc *trackedConn) close() {
 	tc.setPhase(phaseClosed)
+	tc.bounded.closed = true
 	tc.Conn.Close()
 }
 
--- /dev/null
+++ b/link/socket/request_budget.go
@@ -0,0 +1,103 @@
+package socket
+
+import (
+	"context"
+	"net"
+
+	"foxtailbridge/policy/budget"
+)
+
+// RequestBudget accounts for the memory of the request that a connection serves. One without a
+// bounded connection has no limits.
+type RequestBudget struct {
+	conn *trackedConn
+}
+
+type budgetKey struct{}
+
+// ConnContext adds the connection's RequestBudget to a context; use it as
+// http.Server.ConnContext.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if tc, ok := conn.(*trackedConn); ok && tc.tracker.bounds.Budget != nil {
+		return context.WithValue(ctx, budgetKey{}, RequestBudget{tc})
+	}
+	return ctx
+}
+
+// RequestBudgetOf returns the RequestBudget of a request's context.
+func RequestBudgetOf(ctx context.Context) RequestBudget {
+	b, _ := ctx.Value(budgetKey{}).(RequestBudget) // Without one there are no limits.
+	return b
+}
+
+// locked calls f with the tracker's lock held, and returns true without a bounded connection.
+func (r RequestBudget) locked(f func(tc *trackedConn, b *budget.Budget) bool) bool {
+	if r.conn == nil {
+		return true
+	}
+	r.conn.tracker.mu.Lock()
+	defer r.conn.tracker.mu.Unlock()
+	return f(r.conn, r.conn.tracker.bounds.Budget)
+}
+
+// Reserve reserves memory for the request, until its end; it returns false if there is no room.
+func (r RequestBudget) Reserve(n int) bool {
+	return r.locked(func(tc *trackedConn, _ *budget.Budget) bool { return tc.reserve(budget.Bytes(n)) })
+}
+
+// Release releases a part of what was reserved.
+func (r RequestBudget) Release(n int) {
+	r.locked(func(tc *trackedConn, b *budget.Budget) bool {
+		b.Release(&tc.bounded.reservation, budget.Bytes(n))
+		return true
+	})
+}
+
+// ReserveResponse reserves memory for the response, until its end.
+func (r RequestBudget) ReserveResponse(n int) bool {
+	return r.locked(func(tc *trackedConn, b *budget.Budget) bool {
+		return b.ReserveResponse(&tc.bounded.reservation, budget.Bytes(n))
+	})
+}
+
+// BeginBody marks that the handler reads the body, so that a read that is ended for lack of
+// room fails with os.ErrDeadlineExceeded.
+func (r RequestBudget) BeginBody() { r.setReadsBody(true) }
+
+// EndBody marks that the handler doesn't read the body any more.
+func (r RequestBudget) EndBody() { r.setReadsBody(false) }
+
+func (r RequestBudget) setReadsBody(reads bool) {
+	r.locked(func(tc *trackedConn, _ *budget.Budget) bool {
+		tc.bounded.readsBody = reads
+		return true
+	})
+}
+
+// Forward marks that the request is about to be forwarded. It returns false if it must not be.
+func (r RequestBudget) Forward() bool {
+	return r.locked(func(tc *trackedConn, b *budget.Budget) bool {
+		victims, ok := b.Forward(&tc.bounded.reservation, forwardBytes, tc.tracker.bounds.Now())
+		tc.tracker.evict(victims)
+		if !ok && !tc.evicted() {
+			tc.tracker.closes[CloseNoRoom]++
+		}
+		return ok
+	})
+}
+
+// Refuse marks that a request was not sent to an endpoint after Forward and is refused.
+func (r RequestBudget) Refuse() {
+	r.locked(func(tc *trackedConn, b *budget.Budget) bool {
+		b.Refuse(&tc.bounded.reservation, tc.tracker.bounds.Now())
+		return true
+	})
+}
+
+// StopReading makes every further read of the connection fail.
+func (r RequestBudget) StopReading() {
+	r.locked(func(tc *trackedConn, _ *budget.Budget) bool {
+		tc.stopReading()
+		return true
+	})
+}
--- a/link/socket/socket.go
+++ b/link/socket/socket.go
@@ -85,3 +85,25 @@
 	})
 	return stale || err != nil
 }
+
+// receiveWindow bounds the data that the kernel holds for a connection that isn't read; without it
+// the kernel accepts 128 KB, and up to 32 MB on a connection that was read quickly before.
+const receiveWindow = 64 << 10
+
+// ListenBounded is like Listen, but bounds the unread data of each connection.
+func ListenBounded(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var optErr error
+			err := raw.Control(func(fd uintptr) {
+				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, receiveWindow)
+			})
+			if err != nil {
+				return err
+			}
+			return optErr
+		},
+	}
+	return config.Listen(ctx, "tcp", address)
+}
