link/socket: Count connections until they are closed

Such a connection now keeps its place in the count until it is closed, as do those whose request was refused, and is the first to be closed at once when connections are short. A body that is evicted for connections isn't answered any more.

--- a/link/socket/bounds.go
+++ b/link/socket/bounds.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"maps"
-	"math"
 	"net"
 	"syscall"
 	"time"
@@ -165,7 +164,7 @@
 		return true, false
 	}
 	s, now := &tc.bounded, b.Now()
-	if s.reservation.Phase() == budget.PhaseClosed {
+	if tc.evicted() {
 		return false, false
 	}
 	cost := s.begin(b.Budget, now)
@@ -184,7 +183,7 @@
 		return true, false
 	}
 	s.readStopped = true
-	b.Budget.Release(&s.reservation, math.MaxInt64) // The server gives the request up.
+	b.Budget.Stop(&s.reservation, now) // The server gives the request up.
 	return false, !s.inHandler
 }
 
@@ -235,18 +234,19 @@
 	switch {
 	case b.Budget == nil:
 	case tc.bounded.lingering:
-		b.Budget.End(&tc.bounded.reservation, b.Now())
+		b.Budget.Stop(&tc.bounded.reservation, b.Now())
 	default:
 		b.Budget.Close(&tc.bounded.reservation)
 	}
 }
 
+// evicted reports whether nothing more is reserved for the connection.
 func (tc *trackedConn) evicted() bool {
-	return tc.bounded.reservation.Phase() == budget.PhaseClosed
+	p := tc.bounded.reservation.Phase()
+	return p == budget.PhaseClosed || p == budget.PhaseEnding
 }
 
-// evict ends connections whose reservations were evicted. The handler answers if it is reading
-// the body; otherwise the connection is closed.
+// evict ends connections whose reservations were evicted.
 func (c *ConnTracker) evict(victims []*budget.Reservation) {
 	for _, victim := range victims {
 		if tc, ok := victim.Owner.(*trackedConn); ok {
@@ -255,27 +255,35 @@
 	}
 }
 
-// evict ends the connection.
+// evict ends the connection. The handler answers if it is reading the body and only its memory is
+// needed; otherwise the connection is closed.
 func (tc *trackedConn) evict() {
-	reason := CloseSending
-	switch tc.phase {
-	case phaseIdle, phaseInterrupted:
-		reason = CloseIdle
-	case phaseNew:
-		reason = CloseNew
+	s := &tc.bounded
+	if s.closed {
+		return
 	}
-	tc.tracker.closes[reason]++
-	switch {
-	case tc.bounded.readsBody:
+	if !s.readStopped { // Otherwise it was counted as refused.
+		reason := CloseSending
+		switch tc.phase {
+		case phaseIdle, phaseInterrupted:
+			reason = CloseIdle
+		case phaseNew:
+			reason = CloseNew
+		}
+		tc.tracker.closes[reason]++
+	}
+	if s.readsBody && s.reservation.Phase() == budget.PhaseEnding {
 		tc.stopReading()
-	case tc.bounded.closed:
-	case tc.bounded.lingering:
-		tc.bounded.closed = true
+		return
+	}
+	tc.tracker.bounds.Budget.Close(&s.reservation)
+	if s.lingering { // It isn't tracked any more.
+		s.closed = true
 		tc.Conn.Close()
-	default:
-		tc.close()
-		tc.tracker.signalIfIdle()
+		return
 	}
+	tc.close()
+	tc.tracker.signalIfIdle()
 }
 
 // Close closes the connection, or only its write side if the client may still be reading the
--- a/link/socket/request_budget.go
+++ b/link/socket/request_budget.go
@@ -94,10 +94,12 @@
 	})
 }
 
-// StopReading makes every further read of the connection fail.
+// StopReading makes every further read of the connection fail, and releases what the request has
+// reserved. The server has to close the connection after the response.
 func (r RequestBudget) StopReading() {
-	r.locked(func(tc *trackedConn, _ *budget.Budget) bool {
+	r.locked(func(tc *trackedConn, b *budget.Budget) bool {
 		tc.stopReading()
+		b.Stop(&tc.bounded.reservation, tc.tracker.bounds.Now())
 		return true
 	})
 }
--- a/policy/budget/budget.go
+++ b/policy/budget/budget.go
@@ -47,6 +47,9 @@
 	PhaseActive Phase = "active"
 	// PhaseForwarded means that the request was forwarded to an endpoint.
 	PhaseForwarded Phase = "forwarded"
+	// PhaseEnding means that the connection is closed once its client had time to read the
+	// response. Its request holds nothing any more.
+	PhaseEnding Phase = "ending"
 	// PhaseClosed means that the connection was closed or evicted.
 	PhaseClosed Phase = "closed"
 )
@@ -77,6 +80,9 @@
 	return float64(r.received+headStartBytes) / float64(now-r.startedAt+headStartTime)
 }
 
+// ended reports whether nothing more is reserved for requests of the connection.
+func (r *Reservation) ended() bool { return r.phase == PhaseEnding || r.phase == PhaseClosed }
+
 func (r *Reservation) large() bool { return r.request > smallRequest }
 
 // Usage is what a Budget holds.
@@ -108,7 +114,9 @@
 func (b *Budget) Limits() Limits { return b.limits }
 
 // Open reserves a new connection that takes the given memory. It returns the reservations that
-// were evicted for it, and false if there is no room.
+// were evicted for it, and false if there is no room. The phase of an evicted reservation is
+// PhaseClosed if its connection must be closed at once, or PhaseEnding if its request may be
+// answered before; this holds for all methods that evict.
 func (b *Budget) Open(r *Reservation, connection Bytes, now clock.Millis) ([]*Reservation, bool) {
 	*r = Reservation{Owner: r.Owner, phase: PhaseNew, connection: connection, startedAt: now, progressAt: now}
 	e := eviction{budget: b, requester: r, now: now}
@@ -142,7 +150,7 @@
 // Reserve adds memory to a request. It returns the reservations that were evicted for it, and
 // false if there is no room or the reservation itself was evicted.
 func (b *Budget) Reserve(r *Reservation, n Bytes, now clock.Millis) ([]*Reservation, bool) {
-	if r.phase == PhaseClosed {
+	if r.ended() {
 		return nil, false
 	}
 	e := eviction{budget: b, requester: r, now: now}
@@ -167,7 +175,7 @@
 // ReserveResponse adds memory to the response of a request; it reports whether there is room.
 // A response is never evicted, as its request may have run.
 func (b *Budget) ReserveResponse(r *Reservation, n Bytes) bool {
-	if r.phase == PhaseClosed || b.limits.Responses > 0 && b.usage.Responses+n > b.limits.Responses {
+	if r.ended() || b.limits.Responses > 0 && b.usage.Responses+n > b.limits.Responses {
 		return false
 	}
 	r.response += n
@@ -189,7 +197,7 @@
 // it isn't evicted. It returns the reservations that were evicted for it, and false if the
 // reservation itself was evicted or there is no room.
 func (b *Budget) Forward(r *Reservation, work Bytes, now clock.Millis) ([]*Reservation, bool) {
-	if r.phase == PhaseClosed || b.limits.Forwarded > 0 && b.usage.Forwarded >= b.limits.Forwarded {
+	if r.ended() || b.limits.Forwarded > 0 && b.usage.Forwarded >= b.limits.Forwarded {
 		return nil, false
 	}
 	e := eviction{budget: b, requester: r, now: now}
@@ -216,11 +224,22 @@
 
 // End marks the end of a request and releases its memory.
 func (b *Budget) End(r *Reservation, now clock.Millis) {
-	if r.phase == PhaseClosed {
-		return
+	if !r.ended() {
+		b.finish(r, PhaseIdle, now)
 	}
+}
+
+// Stop marks that the connection is closed after the response that is being written, and
+// releases the memory of its request.
+func (b *Budget) Stop(r *Reservation, now clock.Millis) {
+	if !r.ended() {
+		b.finish(r, PhaseEnding, now)
+	}
+}
+
+func (b *Budget) finish(r *Reservation, p Phase, now clock.Millis) {
 	b.subtract(r)
-	r.phase, r.request, r.work, r.response = PhaseIdle, 0, 0, 0
+	r.phase, r.request, r.work, r.response = p, 0, 0, 0
 	r.startedAt, r.progressAt = now, now
 	b.account(r, 1)
 }
--- a/policy/budget/eviction.go
+++ b/policy/budget/eviction.go
@@ -5,12 +5,13 @@
 // order says which reservations may be evicted, and which of them first. Within a step of the
 // order the one that has made no progress for the longest time goes first, and of those that
 // make progress the slowest.
-type order [4]step
+type order [5]step
 
 // step is a group of reservations.
 type step string
 
 const (
+	stepEnding  step = "ending"
 	stepStalled step = "stalled"
 	stepIdle    step = "idle"
 	stepNew     step = "new"
@@ -18,12 +19,12 @@
 )
 
 var (
-	// byConnections is the order when connections are short. Idle connections go first: no
-	// request is lost, and their clients open others.
-	byConnections = order{stepIdle, stepNew, stepStalled, stepSlow}
+	// byConnections is the order when connections are short. After those that end anyway, idle
+	// connections go first: no request is lost, and their clients open others.
+	byConnections = order{stepEnding, stepIdle, stepNew, stepStalled, stepSlow}
 	// byBytes is the order when memory is short. Requests that have stalled go first, as they
 	// hold more memory than idle connections and their clients misbehave.
-	byBytes = order{stepStalled, stepIdle, stepNew, stepSlow}
+	byBytes = order{stepStalled, stepEnding, stepIdle, stepNew, stepSlow}
 	// byLarge is the order when the part for large requests is short.
 	byLarge = order{stepStalled, stepSlow}
 )
@@ -34,7 +35,8 @@
 	requester *Reservation
 	now       clock.Millis
 	victims   []*Reservation
-	phases    []Phase
+	// before holds the victims as they were.
+	before []Reservation
 }
 
 // untilBytes evicts until n more bytes fit.
@@ -57,8 +59,13 @@
 			e.budget.Begin(victim, e.now)
 			continue
 		}
+		e.victims, e.before = append(e.victims, victim), append(e.before, *victim)
+		if victim.phase == PhaseActive && o != byConnections {
+			// The memory of its request is enough; it may still be answered.
+			e.budget.Stop(victim, e.now)
+			continue
+		}
 		e.budget.remove(victim)
-		e.victims, e.phases = append(e.victims, victim), append(e.phases, victim.phase)
 		victim.phase = PhaseClosed
 	}
 	return true
@@ -66,9 +73,17 @@
 
 // undo restores the evicted reservations, as they don't make enough room.
 func (e *eviction) undo() {
-	for i, victim := range e.victims {
-		victim.phase = e.phases[i]
-		e.budget.add(victim)
+	for i := len(e.victims) - 1; i >= 0; i-- { // One may have been evicted in two steps.
+		victim, before := e.victims[i], e.before[i]
+		if victim.phase == PhaseClosed {
+			*victim = before
+			e.budget.add(victim)
+			continue
+		}
+		e.budget.subtract(victim)
+		before.index = victim.index
+		*victim = before
+		e.budget.account(victim, 1)
 	}
 	e.victims = nil
 }
@@ -96,6 +111,8 @@
 func (e *eviction) classify(r *Reservation, own float64) (step, float64) {
 	waited := e.now - r.progressAt
 	switch r.phase {
+	case PhaseEnding:
+		return stepEnding, float64(waited)
 	case PhaseIdle:
 		return stepIdle, float64(waited)
 	case PhaseNew:
