--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -91,6 +91,8 @@
 	KindTimeout Kind = "silent"
 	// KindCanceled means that the caller disconnected.
 	KindCanceled Kind = "canceled"
+	// KindNoRoom means that this instance has no memory for the response.
+	KindNoRoom Kind = "no-room"
 )
 
 // Error is the error type of this package.
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -439,7 +439,7 @@
 			t.runs-- // A dead endpoint does not count; see checkAlive.
 		}
 		r.recordOutcome(true)
-	case KindCanceled:
+	case KindCanceled, KindNoRoom: // Neither says anything of the endpoint.
 		t.countRun()
 		outcome.Result = attempt.ResultTimeout
 	default:
