platform/replica: Responses wait for memory, which they reserve as they grow

Callers got 502 for requests that had run, in a burst of responses of more than 16 KB. A response without a Content-Length reserved 256 KB at once, kept them until the request's end even if the attempt had failed, and failed if there was no room; with 136 MB the share of responses is 11 MB.

A response now reserves 32, 64, 128 and 256 KB as its buffer grows, waits for room until the attempt's deadline, the oldest first, and releases what a failed attempt or an ended stream has reserved. 384 KB are kept for one response that grows to its end, because growing responses that hold the whole share together would all wait for each other. A request is refused with 503 before it is forwarded while the share is nearly used up, others wait, and nothing was released for 1 s. Not already when the share is nearly used up: an ordinary burst uses it up for a moment, too.

--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -51,9 +51,11 @@
 	Session string
 	// LastEventID is the last event that the caller already has, or "".
 	LastEventID EventID
-	// ReserveResponse reserves memory for a response until the request ends; it returns false
-	// if there is none. It may be nil.
-	ReserveResponse func(bytes int) bool
+	// ReserveResponse reserves memory for a response until the request ends or ReleaseResponse
+	// releases it. It waits for room until the context is done, and returns false if there is
+	// none. Both are nil or neither is.
+	ReserveResponse func(ctx context.Context, bytes int) bool
+	ReleaseResponse func(bytes int)
 }
 
 func (r *Request) hash() uint64 {
--- a/link/socket/bounds.go
+++ b/link/socket/bounds.go
@@ -62,7 +62,7 @@
 	CloseNew     CloseReason = "new"
 	CloseSending CloseReason = "sending"
 	// CloseNoRoom is for requests and connections that were refused as nothing else could be
-	// closed.
+	// closed, and for responses that had no room until the deadline.
 	CloseNoRoom CloseReason = "no-room"
 )
 
@@ -94,6 +94,7 @@
 		tc, ok := r.Owner.(*trackedConn)
 		return ok && !tc.bounded.lingering && hasUnread(tc.Conn)
 	}
+	b.Budget.ResponseReleased = c.grantResponses
 }
 
 // Usage returns what the connections take, and how many were closed in favour of others or
--- a/link/socket/bounds_test.go
+++ b/link/socket/bounds_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -236,7 +238,7 @@
 func TestPanicReleases(t *testing.T) {
 	f := serveBounded(t, budget.Limits{Bytes: 1 << 20, Responses: 1 << 20}, func(_ http.ResponseWriter, r *http.Request) {
 		memory := RequestBudgetOf(r.Context())
-		if !memory.Reserve(1000) || !memory.Forward() || !memory.ReserveResponse(1000) {
+		if !memory.Reserve(1000) || !memory.Forward() || !memory.ReserveResponse(r.Context(), 1000) {
 			t.Error("no room")
 		}
 		panic(http.ErrAbortHandler)
@@ -248,3 +250,68 @@
 	}
 	f.await(t, "everything released", func(u budget.Usage) bool { return u == budget.Usage{} })
 }
+
+// TestResponseWaits guards against responses that fail although others are about to release their
+// memory, and against requests that are forwarded although responses have no room.
+func TestResponseWaits(t *testing.T) {
+	const share = 100 << 10
+	proceed := make(chan struct{})
+	results := make(chan string, 3)
+	f := serveBounded(t, budget.Limits{Responses: share}, func(w http.ResponseWriter, r *http.Request) {
+		memory := RequestBudgetOf(r.Context())
+		if !memory.Forward() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		wait := 10 * time.Second
+		if r.URL.Path == "/short" {
+			wait = time.Millisecond
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), wait)
+		defer cancel()
+		results <- fmt.Sprint(r.URL.Path, " ", memory.ReserveResponse(ctx, share))
+		if r.URL.Path == "/first" {
+			<-proceed
+		}
+	})
+	var readers []*bufio.Reader
+	send := func(path string) {
+		conn, reader := f.dial(t)
+		readers = append(readers, reader)
+		if _, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, path := range []string{"/first", "/short", "/second"} {
+		send(path)
+		if i < 2 {
+			want := fmt.Sprint(path, " ", i == 0)
+			if got := <-results; got != want {
+				t.Fatalf("%q, want %q", got, want)
+			}
+		}
+	}
+	if _, closes := f.tracker.Usage(); closes[CloseNoRoom] != 1 {
+		t.Errorf("closed or refused: %v", closes)
+	}
+	f.await(t, "the second waits", func(budget.Usage) bool {
+		f.tracker.mu.Lock()
+		defer f.tracker.mu.Unlock()
+		return len(f.tracker.waiters) == 1
+	})
+	time.Sleep(1100 * time.Millisecond) // The time without a release after which requests are refused.
+	send("/refused")
+	response, err := http.ReadResponse(readers[3], nil)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("response %+v, error %v while no response has room", response, err)
+	}
+	close(proceed)
+	if got := <-results; got != "/second true" {
+		t.Errorf("%q", got)
+	}
+	f.await(t, "everything released", func(u budget.Usage) bool { return u.Responses == 0 })
+	send("/short")
+	if got := <-results; got != "/short true" {
+		t.Errorf("%q after the release", got)
+	}
+}
--- a/link/socket/conn_tracker.go
+++ b/link/socket/conn_tracker.go
@@ -25,6 +25,8 @@
 	// bounds limits what connections take, if its Budget isn't nil.
 	bounds Bounds
 	closes map[CloseReason]int64
+	// waiters are the responses that wait for room, the oldest first.
+	waiters []*responseWaiter
 }
 
 // firstRequestTimeout is how long a drain waits for the first request of a new connection:
--- a/link/socket/request_budget.go
+++ b/link/socket/request_budget.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"slices"
 
 	"foxtailbridge/policy/budget"
 )
@@ -53,10 +55,66 @@
 	})
 }
 
-// ReserveResponse reserves memory for the response, until its end.
-func (r RequestBudget) ReserveResponse(n int) bool {
-	return r.locked(func(tc *trackedConn, b *budget.Budget) bool {
-		return b.ReserveResponse(&tc.bounded.reservation, budget.Bytes(n))
+// ReserveResponse reserves memory for the response, until its end. It waits for room until ctx is
+// done, and returns false if there is none.
+func (r RequestBudget) ReserveResponse(ctx context.Context, n int) bool {
+	waiter := &responseWaiter{n: budget.Bytes(n), granted: make(chan struct{})}
+	reserved := r.locked(func(tc *trackedConn, b *budget.Budget) bool {
+		if b.ReserveResponse(&tc.bounded.reservation, waiter.n, tc.tracker.bounds.Now()) {
+			return true
+		}
+		waiter.reservation = &tc.bounded.reservation
+		tc.tracker.waiters = append(tc.tracker.waiters, waiter)
+		return false
+	})
+	if reserved {
+		return true
+	}
+	select {
+	case <-waiter.granted:
+		return true
+	case <-ctx.Done():
+	}
+	return r.locked(func(tc *trackedConn, _ *budget.Budget) bool {
+		select {
+		case <-waiter.granted: // Meanwhile.
+			return true
+		default:
+		}
+		c := tc.tracker
+		c.waiters = slices.DeleteFunc(c.waiters, func(w *responseWaiter) bool { return w == waiter })
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.closes[CloseNoRoom]++
+		}
+		return false
+	})
+}
+
+// ReleaseResponse releases a part of what was reserved for the response.
+func (r RequestBudget) ReleaseResponse(n int) {
+	r.locked(func(tc *trackedConn, b *budget.Budget) bool {
+		b.ReleaseResponse(&tc.bounded.reservation, budget.Bytes(n))
+		return true
+	})
+}
+
+// responseWaiter is a response that waits for room.
+type responseWaiter struct {
+	reservation *budget.Reservation
+	n           budget.Bytes
+	// granted is closed once the memory is reserved.
+	granted chan struct{}
+}
+
+// grantResponses reserves memory for the responses that wait for it, the oldest first, as far as
+// there is room. The caller holds the lock.
+func (c *ConnTracker) grantResponses() {
+	c.waiters = slices.DeleteFunc(c.waiters, func(w *responseWaiter) bool {
+		if !c.bounds.Budget.ReserveResponse(w.reservation, w.n, c.bounds.Now()) {
+			return false
+		}
+		close(w.granted)
+		return true
 	})
 }
 
--- a/policy/budget/budget.go
+++ b/policy/budget/budget.go
@@ -21,6 +21,17 @@
 	headStartTime        = 250 * clock.Millis(1)
 )
 
+const (
+	// lastResponse is the part of Limits.Responses that is kept for one response, which grows to
+	// its end in it: 256 KB, and a buffer of half the size that is being copied. Otherwise
+	// growing responses could take the whole share and all wait for more. A share of less than
+	// lastRatio times as much has no such part.
+	lastResponse = 384 << 10
+	lastRatio    = 4
+	// fullRatio is the part of Limits.Responses from which on it counts as nearly used up.
+	fullRatio = 0.9
+)
+
 // Limits bounds a Budget; a bound of 0 means none.
 type Limits struct {
 	// Bytes bounds the memory of connections and requests.
@@ -96,10 +107,16 @@
 	// Arrived reports whether unread data waits on a connection that is new or idle. Such a
 	// connection has a request, so it isn't evicted as an idle one. It may be nil.
 	Arrived func(*Reservation) bool
+	// ResponseReleased is called when memory of responses was released. It may be nil.
+	ResponseReleased func()
 
 	limits Limits
 	usage  Usage
 	open   []*Reservation
+	// last is the reservation whose response uses the part of lastResponse, or nil.
+	last *Reservation
+	// shortSince is when a response had no room last while none was released since, or 0.
+	shortSince clock.Millis
 }
 
 // New returns a Budget without reservations.
@@ -174,15 +191,56 @@
 
 // ReserveResponse adds memory to the response of a request; it reports whether there is room.
 // A response is never evicted, as its request may have run.
-func (b *Budget) ReserveResponse(r *Reservation, n Bytes) bool {
-	if r.ended() || b.limits.Responses > 0 && b.usage.Responses+n > b.limits.Responses {
+func (b *Budget) ReserveResponse(r *Reservation, n Bytes, now clock.Millis) bool {
+	if r.ended() {
 		return false
 	}
+	if limit := b.limits.Responses; limit > 0 {
+		total := b.usage.Responses + n
+		switch {
+		case limit < lastRatio*lastResponse && total <= limit, total <= limit-lastResponse:
+		case total <= limit && r.response > 0 && (b.last == nil || b.last == r):
+			b.last = r
+		default:
+			if b.shortSince == 0 {
+				b.shortSince = max(now, 1)
+			}
+			return false
+		}
+	}
 	r.response += n
 	b.usage.Responses += n
 	return true
 }
 
+// ReleaseResponse takes memory off the response of a request before its end.
+func (b *Budget) ReleaseResponse(r *Reservation, n Bytes) {
+	if n = min(n, r.response); n > 0 {
+		r.response -= n
+		b.usage.Responses -= n
+		b.responseReleased(r)
+	}
+}
+
+// responseReleased is called after memory of a response was released.
+func (b *Budget) responseReleased(r *Reservation) {
+	if b.last == r && r.response == 0 {
+		b.last = nil
+	}
+	b.shortSince = 0
+	if b.ResponseReleased != nil {
+		b.ResponseReleased()
+	}
+}
+
+// responsesStuck reports whether the memory of responses is nearly used up and none was released
+// for some time although others wait. In a burst of ordinary responses some is released all the
+// time.
+func (b *Budget) responsesStuck(now clock.Millis) bool {
+	full := float64(b.usage.Responses) >= fullRatio*float64(b.limits.Responses)
+	return full && b.shortSince > 0 && now-b.shortSince >= stallTime
+}
+
 // Release takes memory off a request before its end.
 func (b *Budget) Release(r *Reservation, n Bytes) {
 	if r.phase == PhaseClosed {
@@ -195,9 +253,9 @@
 
 // Forward marks that a request is about to be forwarded, which takes more memory; from then on
 // it isn't evicted. It returns the reservations that were evicted for it, and false if the
-// reservation itself was evicted or there is no room.
+// reservation itself was evicted or there is no room, also not for its response.
 func (b *Budget) Forward(r *Reservation, work Bytes, now clock.Millis) ([]*Reservation, bool) {
-	if r.ended() || b.limits.Forwarded > 0 && b.usage.Forwarded >= b.limits.Forwarded {
+	if r.ended() || b.limits.Forwarded > 0 && b.usage.Forwarded >= b.limits.Forwarded || b.responsesStuck(now) {
 		return nil, false
 	}
 	e := eviction{budget: b, requester: r, now: now}
@@ -217,6 +275,7 @@
 	if r.phase != PhaseForwarded {
 		return
 	}
+	b.ReleaseResponse(r, r.response) // A local reply is small.
 	b.subtract(r)
 	r.phase, r.work, r.progressAt = PhaseActive, 0, now
 	b.account(r, 1)
@@ -238,10 +297,14 @@
 }
 
 func (b *Budget) finish(r *Reservation, p Phase, now clock.Millis) {
+	held := r.response > 0
 	b.subtract(r)
 	r.phase, r.request, r.work, r.response = p, 0, 0, 0
 	r.startedAt, r.progressAt = now, now
 	b.account(r, 1)
+	if held {
+		b.responseReleased(r)
+	}
 }
 
 // Close releases everything. It may be called more than once, and after an eviction.
@@ -251,6 +314,10 @@
 	}
 	b.remove(r)
 	r.phase = PhaseClosed
+	if r.response > 0 {
+		r.response = 0
+		b.responseReleased(r)
+	}
 }
 
 func (b *Budget) add(r *Reservation) {
--- a/policy/budget/budget_test.go
+++ b/policy/budget/budget_test.go
@@ -176,8 +176,8 @@
 		So(ok, ShouldBeTrue)
 		_, ok = b.Forward(b.open("second", 0), kb, 0)
 		So(ok, ShouldBeFalse)
-		So(b.ReserveResponse(r, 8*kb), ShouldBeTrue)
-		So(b.ReserveResponse(r, 8*kb), ShouldBeFalse)
+		So(b.ReserveResponse(r, 8*kb, 0), ShouldBeTrue)
+		So(b.ReserveResponse(r, 8*kb, 0), ShouldBeFalse)
 		b.End(r, 1)
 		So(b.Usage(), ShouldResemble, Usage{Bytes: 2 * kb, Connections: 2})
 		b.Close(r)
@@ -223,7 +223,7 @@
 			case action == 5 && r.Phase() == PhaseActive:
 				victims, _ = b.Forward(r, 32*kb, now)
 			case action == 6 && r.Phase() == PhaseForwarded:
-				b.ReserveResponse(r, n)
+				b.ReserveResponse(r, n, now)
 			case action == 7:
 				b.End(r, now)
 			case action == 8:
@@ -258,3 +258,48 @@
 		}
 	}))
 }
+
+// TestGrowingResponses guards against responses that have taken the whole share together and all
+// wait for more, so that none ends.
+func TestGrowingResponses(t *testing.T) {
+	Convey("Of many responses that grow at the same time one always has room up to its end", t, func() {
+		b := newTestBudget(Limits{Responses: 11 * MB})
+		sizes := []Bytes{32 * kb, 64 * kb, 128 * kb, 256 * kb}
+		type response struct {
+			*Reservation
+			step int
+			held Bytes
+		}
+		var waiting []*response
+		for range 200 {
+			r := b.open("r", 0)
+			b.Begin(r, 0)
+			_, ok := b.Forward(r, 0, 0)
+			So(ok, ShouldBeTrue)
+			waiting = append(waiting, &response{Reservation: r})
+		}
+		for len(waiting) > 0 {
+			var rest []*response
+			grown := 0
+			for _, r := range waiting {
+				n := sizes[r.step]
+				if !b.ReserveResponse(r.Reservation, n, 0) {
+					rest = append(rest, r)
+					continue
+				}
+				grown++
+				b.ReleaseResponse(r.Reservation, r.held)
+				r.step, r.held = r.step+1, n
+				if r.step < len(sizes) {
+					rest = append(rest, r)
+					continue
+				}
+				b.End(r.Reservation, 0)
+			}
+			So(b.Usage().Responses, ShouldBeLessThanOrEqualTo, 11*MB)
+			So(grown, ShouldBeGreaterThan, 0)
+			waiting = rest
+		}
+		So(b.Usage().Responses, ShouldEqual, 0)
+	})
+}
