policy/budget: A request counts as slow only after the head start

At the bound of connections or bytes, ordinary callers whose complete request had just arrived got a closed connection. The rate of a newcomer is the head start alone (64 KB in 250 ms), so that any request of 1 KB that wasn't forwarded yet was "slower" than a newer connection within a few milliseconds. A request is now evicted as slow only after headStartTime.

TestNewRequestStays (new) failed before: a request of 1 KB was evicted for a new connection after 5 ms.

--- a/policy/budget/budget.go
+++ b/policy/budget/budget.go
@@ -16,7 +16,8 @@
 	// any other. TCP retransmits lost packets sooner.
 	stallTime = clock.Second
 	// headStartBytes and headStartTime are added to what a request has received and to its
-	// age, so that a request which has just begun counts as a fast one.
+	// age, so that a request which has just begun counts as a fast one. Up to this age a request
+	// doesn't count as slow.
 	headStartBytes Bytes = 64 << 10
 	headStartTime        = 250 * clock.Millis(1)
 )
--- a/policy/budget/budget_test.go
+++ b/policy/budget/budget_test.go
@@ -303,3 +303,20 @@
 		So(b.Usage().Responses, ShouldEqual, 0)
 	})
 }
+
+// TestNewRequestStays guards against closing a connection whose complete request has just arrived
+// and isn't forwarded yet in favour of any newer one.
+func TestNewRequestStays(t *testing.T) {
+	Convey("A request counts as slow only after some time", t, func() {
+		for age := clock.Millis(0); age < headStartTime; age += 5 {
+			b := newTestBudget(Limits{Connections: 1})
+			b.request("new", kb, 1000, 1000)
+			_, ok := b.Open(&Reservation{}, kb, 1000+age)
+			SoMsg(age.Duration().String(), ok, ShouldBeFalse)
+		}
+		b := newTestBudget(Limits{Connections: 1})
+		b.request("slow", kb, 1000, 1000)
+		_, ok := b.Open(&Reservation{}, kb, 1000+headStartTime)
+		So(ok, ShouldBeTrue)
+	})
+}
--- a/policy/budget/eviction.go
+++ b/policy/budget/eviction.go
@@ -121,7 +121,8 @@
 		if waited >= stallTime {
 			return stepStalled, float64(waited)
 		}
-		if rate := r.rate(e.now); rate < own {
+		// The rate of a newcomer is the head start alone; no young request reaches it.
+		if rate := r.rate(e.now); e.now-r.startedAt >= headStartTime && rate < own {
 			return stepSlow, 1 / rate
 		}
 	}
