link/socket: A request that was just read isn't evicted as idle

Callers that reuse a connection lost a request: its reader had taken the request from the kernel and waited for the tracker's lock, which an eviction held. The eviction saw no unread data and closed the connection as idle. The reader now marks the connection after the read, until the request is accounted for. The few instructions between the return of the system call and the mark stay open; closing that gap would need a lock around the read.

TestReadRequestStays (new) failed before: the connection was closed and its second request had no response.

--- a/link/socket/bounds.go
+++ b/link/socket/bounds.go
@@ -92,7 +92,7 @@
 	c.bounds = b
 	b.Budget.Arrived = func(r *budget.Reservation) bool {
 		tc, ok := r.Owner.(*trackedConn)
-		return ok && !tc.bounded.lingering && hasUnread(tc.Conn)
+		return ok && !tc.bounded.lingering && (tc.readPending.Load() || hasUnread(tc.Conn))
 	}
 	b.Budget.ResponseReleased = c.grantResponses
 }
--- a/link/socket/bounds_test.go
+++ b/link/socket/bounds_test.go
@@ -315,3 +315,34 @@
 		t.Errorf("%q after the release", got)
 	}
 }
+
+// TestReadRequestStays guards against closing an idle connection whose next request its reader has
+// taken from the kernel and is about to account for.
+func TestReadRequestStays(t *testing.T) {
+	f := serveBounded(t, budget.Limits{Connections: 1}, func(http.ResponseWriter, *http.Request) {})
+	idle, reader := f.dial(t)
+	sendRequest(t, idle)
+	if !readResponse(reader) {
+		t.Fatal("no first response")
+	}
+	f.await(t, "idle", func(budget.Usage) bool {
+		f.tracker.mu.Lock()
+		defer f.tracker.mu.Unlock()
+		return f.tracker.counts[phaseIdle] == 1
+	})
+	func() {
+		f.tracker.mu.Lock()
+		defer f.tracker.mu.Unlock()
+		sendRequest(t, idle)
+		time.Sleep(50 * time.Millisecond) // The reader now waits for the lock.
+		client, server := net.Pipe()
+		defer client.Close()
+		defer server.Close()
+		if other := (&trackedConn{Conn: server, tracker: f.tracker}); other.open() {
+			t.Error("the idle connection was closed in favour of a new one")
+		}
+	}()
+	if !readResponse(reader) {
+		t.Error("the second request has no response")
+	}
+}
--- a/link/socket/conn_tracker.go
+++ b/link/socket/conn_tracker.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -44,6 +45,8 @@
 	tracker *ConnTracker
 	phase   phase // Guarded by tracker.mu.
 	bounded boundedConn
+	// readPending is true while data was read that isn't accounted for yet.
+	readPending atomic.Bool
 }
 
 // phase is the state of a connection.
@@ -116,6 +119,7 @@
 	if n == 0 {
 		return n, err
 	}
+	tc.readPending.Store(true)
 	if ok, refuse := tc.received(p[:n]); !ok {
 		if refuse {
 			writeRefusal(tc.Conn)
@@ -130,6 +134,7 @@
 func (tc *trackedConn) received(data []byte) (ok, refuse bool) {
 	tc.tracker.mu.Lock()
 	defer tc.tracker.mu.Unlock()
+	tc.readPending.Store(false)
 	if tc.phase == phaseClosed {
 		return false, false
 	}
