policy/budget: A refusal restarts the age of its request

A request that had waited for an endpoint and was then refused could be evicted while its 503 was being written: it kept the time at which it had begun, so that it counted as the slowest one. Refuse now sets it to the time of the refusal.

TestRefusedRequestStays (new) failed before: the refused request was evicted instead of a slow one that had begun 4 s later.

--- a/policy/budget/budget.go
+++ b/policy/budget/budget.go
@@ -278,7 +278,7 @@
 	}
 	b.ReleaseResponse(r, r.response) // A local reply is small.
 	b.subtract(r)
-	r.phase, r.work, r.progressAt = PhaseActive, 0, now
+	r.phase, r.work, r.startedAt, r.progressAt = PhaseActive, 0, now, now
 	b.account(r, 1)
 }
 
--- a/policy/budget/budget_test.go
+++ b/policy/budget/budget_test.go
@@ -320,3 +320,19 @@
 		So(ok, ShouldBeTrue)
 	})
 }
+
+// TestRefusedRequestStays guards against closing a connection while the refusal of its request is
+// being written: a request that had waited long for an endpoint counted as the slowest one.
+func TestRefusedRequestStays(t *testing.T) {
+	Convey("The time before a refusal doesn't make a request slow", t, func() {
+		b := newTestBudget(Limits{Connections: 2})
+		refused := b.request("refused", kb, 0, 0)
+		_, ok := b.Forward(refused, 0, 0)
+		So(ok, ShouldBeTrue)
+		b.request("slow", kb, 4000, 4900)
+		b.Refuse(refused, 5000)
+		victims, ok := b.Open(&Reservation{}, kb, 5000)
+		So(ok, ShouldBeTrue)
+		So(b.nameAll(victims), ShouldResemble, []string{"slow"})
+	})
+}
