policy/budget: A request evicted for its memory keeps its connection

When memory was short, a request that was evicted for its memory, and was about to get its 408 or 503, lost its connection in the same eviction before any idle connection was closed: the order had "ending" before "idle". A reservation that the same eviction has stopped now goes last.

TestStoppedBeforeIdle (new) failed before: the stalled request was evicted a second time instead of the idle connection. TestEvictionOrder is unchanged.

--- a/policy/budget/budget_test.go
+++ b/policy/budget/budget_test.go
@@ -336,3 +336,34 @@
 		So(b.nameAll(victims), ShouldResemble, []string{"slow"})
 	})
 }
+
+// TestStoppedBeforeIdle guards against closing the connection of a request that was evicted for its
+// memory, and is about to be answered, although idle connections can be closed.
+func TestStoppedBeforeIdle(t *testing.T) {
+	rows := []struct {
+		name    string
+		idle    bool
+		victims []string
+	}{
+		{"an idle connection", true, []string{"stalled", "idle"}},
+		{"no other connection", false, []string{"stalled", "stalled"}},
+	}
+	Convey("A request that was evicted for its memory keeps its connection while another can be closed", t, func() {
+		for _, row := range rows {
+			b := newTestBudget(Limits{Bytes: 30 * kb})
+			b.request("stalled", 5*kb, 0, 0)
+			if row.idle {
+				idle := b.open("idle", 0)
+				b.Begin(idle, 0)
+				b.End(idle, 1)
+			}
+			n := b.limits.Bytes - kb // The memory of one connection remains.
+			if !row.idle {
+				n += kb
+			}
+			victims, ok := b.Open(&Reservation{}, n, 3000)
+			SoMsg(row.name, ok, ShouldBeTrue)
+			SoMsg(row.name, b.nameAll(victims), ShouldResemble, row.victims)
+		}
+	})
+}
--- a/policy/budget/eviction.go
+++ b/policy/budget/eviction.go
@@ -1,11 +1,15 @@
 package budget
 
-import "foxtailbridge/policy/clock"
+import (
+	"slices"
+
+	"foxtailbridge/policy/clock"
+)
 
 // order says which reservations may be evicted, and which of them first. Within a step of the
 // order the one that has made no progress for the longest time goes first, and of those that
 // make progress the slowest.
-type order [5]step
+type order [6]step
 
 // step is a group of reservations.
 type step string
@@ -16,15 +20,19 @@
 	stepIdle    step = "idle"
 	stepNew     step = "new"
 	stepSlow    step = "slow"
+	// stepStopped is for requests that the same eviction has stopped for their memory: they are
+	// about to be answered.
+	stepStopped step = "stopped"
 )
 
 var (
 	// byConnections is the order when connections are short. After those that end anyway, idle
 	// connections go first: no request is lost, and their clients open others.
-	byConnections = order{stepEnding, stepIdle, stepNew, stepStalled, stepSlow}
+	byConnections = order{stepEnding, stepIdle, stepNew, stepStalled, stepSlow, stepStopped}
 	// byBytes is the order when memory is short. Requests that have stalled go first, as they
-	// hold more memory than idle connections and their clients misbehave.
-	byBytes = order{stepStalled, stepEnding, stepIdle, stepNew, stepSlow}
+	// hold more memory than idle connections and their clients misbehave. Their
+	// connections go last in the same eviction.
+	byBytes = order{stepStalled, stepEnding, stepIdle, stepNew, stepSlow, stepStopped}
 	// byLarge is the order when the part for large requests is short.
 	byLarge = order{stepStalled, stepSlow}
 )
@@ -112,6 +120,9 @@
 	waited := e.now - r.progressAt
 	switch r.phase {
 	case PhaseEnding:
+		if slices.Contains(e.victims, r) {
+			return stepStopped, float64(waited)
+		}
 		return stepEnding, float64(waited)
 	case PhaseIdle:
 		return stepIdle, float64(waited)
