link/socket: The end of a body isn't accounted for as the next header

After a body of short lines, a bare GET on the same connection counted as a large request, and was refused with 503 when the part for large ones was used up: the last read of up to 4 KB was taken for the begin of the next header without regard to whether it belonged to the body. net/http reads before it parses a header only if its buffer holds less than 4 bytes; such a read now adds nothing for what was read earlier. It is told from a read of the rest of a partial header by the number of read deadlines that net/http has set since the end of the request. A limit on the lines counted was ruled out: a client could then have up to 4 KB of short fields parsed that weren't accounted for, and so was the room in the read buffer, which parsing empties.

TestBodyLines (new) failed before: 1,629,665 bytes were reserved for a GET without a body after 4,000 empty lines; the test allows 64 KB. TestPartialHeader (new) guards the other side: the begin of a header that arrives with the previous request counts. It passed before.

--- a/link/socket/bounds.go
+++ b/link/socket/bounds.go
@@ -31,6 +31,10 @@
 	// serverBuffer is the size of net/http's read buffer. What a read of this size has brought
 	// may be the begin of the next request.
 	serverBuffer = 4 << 10
+	// headerDeadlines is how often net/http sets the read deadline between the end of a request and
+	// parsing the next header: before and after it waits for the first bytes. If it reads before
+	// that, its buffer was empty, and what was read last was no part of the header.
+	headerDeadlines = 2
 	// lingerTime is how long a connection whose request was not read completely stays open
 	// after the response. Closing it at once would reset it, and the client could lose the
 	// response.
@@ -77,6 +81,8 @@
 	// carried is the memory that the header of the next request may take that is already in
 	// net/http's buffer.
 	carried budget.Bytes
+	// deadlinesSet is how often the server has set the read deadline since the last request.
+	deadlinesSet int
 	// readStopped means that nothing more is read.
 	readStopped bool
 	// lingering means that the server has closed the connection, which is still open.
@@ -168,7 +174,10 @@
 	if tc.evicted() {
 		return false, false
 	}
-	cost := s.begin(b.Budget, now)
+	var cost budget.Bytes
+	if s.begin(b.Budget, now) && s.deadlinesSet >= headerDeadlines {
+		cost = s.carried
+	}
 	b.Budget.Progress(&s.reservation, budget.Bytes(len(data)), now)
 	head := budget.Bytes(len(data)*headFactor + bytes.Count(data, []byte{'\n'})*headLineBytes)
 	if len(data) <= serverBuffer {
@@ -188,13 +197,13 @@
 	return false, !s.inHandler
 }
 
-// begin marks the start of a request. It returns the memory of what has arrived of it already.
-func (s *boundedConn) begin(b *budget.Budget, now clock.Millis) budget.Bytes {
+// begin marks the start of a request; it returns false if it has begun already.
+func (s *boundedConn) begin(b *budget.Budget, now clock.Millis) bool {
 	if p := s.reservation.Phase(); p != budget.PhaseNew && p != budget.PhaseIdle {
-		return 0
+		return false
 	}
 	b.Begin(&s.reservation, now)
-	return s.carried
+	return true
 }
 
 // reserve adds memory to the request and evicts others for it.
@@ -215,7 +224,8 @@
 		return
 	}
 	tc.bounded.inHandler = true
-	if carried := tc.bounded.begin(b.Budget, b.Now()); carried > 0 && !tc.reserve(carried) {
+	// Without a read since the last request, the whole header is in the server's buffer.
+	if tc.bounded.begin(b.Budget, b.Now()) && tc.bounded.carried > 0 && !tc.reserve(tc.bounded.carried) {
 		tc.bounded.readStopped = true
 		tc.close()
 	}
@@ -224,7 +234,7 @@
 // requestEnded releases what the request has taken.
 func (tc *trackedConn) requestEnded() {
 	if b := tc.tracker.bounds; b.Budget != nil {
-		tc.bounded.inHandler = false
+		tc.bounded.inHandler, tc.bounded.deadlinesSet = false, 0
 		b.Budget.End(&tc.bounded.reservation, b.Now())
 	}
 }
--- a/link/socket/bounds_test.go
+++ b/link/socket/bounds_test.go
@@ -346,3 +346,63 @@
 		t.Error("the second request has no response")
 	}
 }
+
+// TestBodyLines guards against a body of short lines that counts as the header of the next request
+// on the connection, which then has no room.
+func TestBodyLines(t *testing.T) {
+	var reserved []budget.Bytes
+	var f *fixture
+	f = serveBounded(t, budget.Limits{Bytes: 4 << 20}, func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			t.Error(err)
+		}
+		usage, _ := f.tracker.Usage()
+		reserved = append(reserved, usage.Bytes)
+	})
+	conn, reader := f.dial(t)
+	const size = 4000
+	for _, text := range []string{fmt.Sprint("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ", size, "\r\n\r\n"), strings.Repeat("\n", size), ""} {
+		if text == "" {
+			if !readResponse(reader) {
+				t.Fatal("no response to the body")
+			}
+			text = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond) // The parts are read one by one.
+	}
+	if !readResponse(reader) {
+		t.Fatal("no response to the second request")
+	}
+	const most = 64 << 10
+	if reserved[1] > most {
+		t.Errorf("%d bytes are reserved for a request without a body, want at most %d", reserved[1], most)
+	}
+}
+
+// TestPartialHeader guards against the begin of a header that arrives with the previous request and
+// isn't accounted for.
+func TestPartialHeader(t *testing.T) {
+	const fields = 400
+	var reserved []budget.Bytes
+	var f *fixture
+	f = serveBounded(t, budget.Limits{Bytes: 4 << 20}, func(http.ResponseWriter, *http.Request) {
+		usage, _ := f.tracker.Usage()
+		reserved = append(reserved, usage.Bytes)
+	})
+	conn, reader := f.dial(t)
+	head := "GET / HTTP/1.1\r\nHost: h\r\n"
+	for _, text := range []string{head + "\r\n" + head + strings.Repeat("a:b\r\n", fields), "\r\n"} {
+		if _, err := io.WriteString(conn, text); err != nil {
+			t.Fatal(err)
+		}
+		if !readResponse(reader) {
+			t.Fatal("no response")
+		}
+	}
+	if reserved[1] < fields*headLineBytes {
+		t.Errorf("%d bytes are reserved for a header of %d fields", reserved[1], fields)
+	}
+}
--- a/link/socket/conn_tracker.go
+++ b/link/socket/conn_tracker.go
@@ -201,6 +201,7 @@
 func (tc *trackedConn) SetReadDeadline(t time.Time) error {
 	tc.tracker.mu.Lock()
 	defer tc.tracker.mu.Unlock()
+	tc.bounded.deadlinesSet++
 	if tc.phase == phaseInterrupted || tc.bounded.readStopped {
 		return nil
 	}
