policy/budget: Ordinary bodies of 40 to 72 KB are small requests

With the part for large requests used up, ordinary requests with bodies of 40 to 72 KB got 503. They counted as large ones (over 80 KB), because beside the body its pieces count, and the header: body bytes that arrive with a header were taken for lines of it.

Left as it was: readExact reserves the declared length beside the first 16 KB, as both are held while they are copied.

--- a/link/socket/bounds.go
+++ b/link/socket/bounds.go
@@ -46,6 +46,9 @@
 // refusal is the response to a request that there is no room to read.
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
+// headEnd ends a header.
+var headEnd = []byte("\r\n\r\n")
+
 // Bounds limits what the connections of a ConnTracker take.
 type Bounds struct {
 	Budget *budget.Budget
@@ -179,13 +182,15 @@
 		cost = s.carried
 	}
 	b.Budget.Progress(&s.reservation, budget.Bytes(len(data)), now)
-	head := budget.Bytes(len(data)*headFactor + bytes.Count(data, []byte{'\n'})*headLineBytes)
 	if len(data) <= serverBuffer {
-		s.carried = head
+		s.carried = headBytes(data)
 	}
 	switch {
 	case !s.inHandler:
-		cost += head
+		if end := bytes.Index(data, headEnd); end >= 0 {
+			data = data[:end+len(headEnd)] // The rest belongs to the body, or is carried.
+		}
+		cost += headBytes(data)
 	case b.WholeRequests:
 		cost += budget.Bytes(len(data) * wholeFactor)
 	}
@@ -197,6 +202,11 @@
 	return false, !s.inHandler
 }
 
+// headBytes estimates the memory of a parsed header.
+func headBytes(data []byte) budget.Bytes {
+	return budget.Bytes(len(data)*headFactor + bytes.Count(data, []byte{'\n'})*headLineBytes)
+}
+
 // begin marks the start of a request; it returns false if it has begun already.
 func (s *boundedConn) begin(b *budget.Budget, now clock.Millis) bool {
 	if p := s.reservation.Phase(); p != budget.PhaseNew && p != budget.PhaseIdle {
