policy/budget: A request whose data waits to be read hasn't stalled

After a pause of the process of 1 s every upload counted as stalled at once, and the ones that had waited longest were evicted for any other request. The eviction now asks for stalled requests, too, whether unread data waits, and records progress instead of evicting. Such a request may still be evicted as a slow one.

TestUnreadProgress (new) failed before: the paused request was evicted before the one that had sent nothing.

--- a/policy/budget/budget.go
+++ b/policy/budget/budget.go
@@ -105,8 +105,9 @@
 
 // Budget accounts for the reservations of one listener. It is not safe for concurrent use.
 type Budget struct {
-	// Arrived reports whether unread data waits on a connection that is new or idle. Such a
-	// connection has a request, so it isn't evicted as an idle one. It may be nil.
+	// Arrived reports whether unread data waits on a connection that is new, idle or stalled.
+	// Such a connection has a request that makes progress, so it isn't evicted as an idle or a
+	// stalled one. It may be nil.
 	Arrived func(*Reservation) bool
 	// ResponseReleased is called when memory of responses was released. It may be nil.
 	ResponseReleased func()
--- a/policy/budget/budget_test.go
+++ b/policy/budget/budget_test.go
@@ -367,3 +367,24 @@
 		}
 	})
 }
+
+// TestUnreadProgress guards against evicting every upload after the process was paused: none has
+// made progress, but their data waits to be read.
+func TestUnreadProgress(t *testing.T) {
+	Convey("A request whose data waits to be read hasn't stalled", t, func() {
+		b := newTestBudget(Limits{Bytes: 40 * kb})
+		paused := b.request("paused", 10*kb, 0, 0)
+		b.request("stalled", 10*kb, 0, 100)
+		b.Arrived = func(r *Reservation) bool { return r == paused }
+		victims, ok := b.Open(&Reservation{}, 20*kb, 2000)
+		So(ok, ShouldBeTrue)
+		So(b.nameAll(victims), ShouldResemble, []string{"stalled"})
+		Convey("but it may be evicted as a slow one, after the connection of the stalled one", func() {
+			b.Arrived = func(r *Reservation) bool { return true }
+			r := b.request("fast", 0, 2000, 2000)
+			victims, ok := b.Reserve(r, 9*kb, 2000)
+			So(ok, ShouldBeTrue)
+			So(b.nameAll(victims), ShouldResemble, []string{"stalled", "paused"})
+		})
+	})
+}
--- a/policy/budget/eviction.go
+++ b/policy/budget/eviction.go
@@ -63,8 +63,12 @@
 		if victim == nil {
 			return false
 		}
-		if idle := victim.phase == PhaseNew || victim.phase == PhaseIdle; idle && e.budget.Arrived != nil && e.budget.Arrived(victim) {
+		idle := victim.phase == PhaseNew || victim.phase == PhaseIdle
+		stalled := victim.phase == PhaseActive && e.now-victim.progressAt >= stallTime
+		if (idle || stalled) && e.budget.Arrived != nil && e.budget.Arrived(victim) {
 			e.budget.Begin(victim, e.now)
+			// After a pause of the process every request seems to have stalled.
+			e.budget.Progress(victim, 0, e.now)
 			continue
 		}
 		e.victims, e.before = append(e.victims, victim), append(e.before, *victim)
