--- a/link/socket/bounds.go
+++ b/link/socket/bounds.go
@@ -31,6 +31,10 @@
 	// serverBuffer is the size of net/http's read buffer. What a read of this size has brought
 	// may be the begin of the next request.
 	serverBuffer = 4 << 10
+	// headerDeadlines is how often net/http sets the read deadline between the end of a request and
+	// parsing the next header: before and after it waits for the first bytes. If it reads before
+	// that, its buffer was empty, and what was read last was no part of the header.
+	headerDeadlines = 2
 	// lingerTime is how long a connection whose request was not read completely stays open
 	// after the response. Closing it at once would reset it, and the client could lose the
 	// response.
@@ -42,6 +46,9 @@
 // refusal is the response to a request that there is no room to read.
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
+// headEnd ends a header.
+var headEnd = []byte("\r\n\r\n")
+
 // Bounds limits what the connections of a ConnTracker take.
 type Bounds struct {
 	Budget *budget.Budget
@@ -62,7 +69,7 @@
 	CloseNew     CloseReason = "new"
 	CloseSending CloseReason = "sending"
 	// CloseNoRoom is for requests and connections that were refused as nothing else could be
-	// closed.
+	// closed, and for responses that had no room until the deadline.
 	CloseNoRoom CloseReason = "no-room"
 )
 
@@ -77,6 +84,8 @@
 	// carried is the memory that the header of the next request may take that is already in
 	// net/http's buffer.
 	carried budget.Bytes
+	// deadlinesSet is how often the server has set the read deadline since the last request.
+	deadlinesSet int
 	// readStopped means that nothing more is read.
 	readStopped bool
 	// lingering means that the server has closed the connection, which is still open.
@@ -92,8 +101,9 @@
 	c.bounds = b
 	b.Budget.Arrived = func(r *budget.Reservation) bool {
 		tc, ok := r.Owner.(*trackedConn)
-		return ok && !tc.bounded.lingering && hasUnread(tc.Conn)
+		return ok && !tc.bounded.lingering && (tc.readPending.Load() || hasUnread(tc.Conn))
 	}
+	b.Budget.ResponseReleased = c.grantResponses
 }
 
 // Usage returns what the connections take, and how many were closed in favour of others or
@@ -167,15 +177,20 @@
 	if tc.evicted() {
 		return false, false
 	}
-	cost := s.begin(b.Budget, now)
+	var cost budget.Bytes
+	if s.begin(b.Budget, now) && s.deadlinesSet >= headerDeadlines {
+		cost = s.carried
+	}
 	b.Budget.Progress(&s.reservation, budget.Bytes(len(data)), now)
-	head := budget.Bytes(len(data)*headFactor + bytes.Count(data, []byte{'\n'})*headLineBytes)
 	if len(data) <= serverBuffer {
-		s.carried = head
+		s.carried = headBytes(data)
 	}
 	switch {
 	case !s.inHandler:
-		cost += head
+		if end := bytes.Index(data, headEnd); end >= 0 {
+			data = data[:end+len(headEnd)] // The rest belongs to the body, or is carried.
+		}
+		cost += headBytes(data)
 	case b.WholeRequests:
 		cost += budget.Bytes(len(data) * wholeFactor)
 	}
@@ -187,13 +202,18 @@
 	return false, !s.inHandler
 }
 
-// begin marks the start of a request. It returns the memory of what has arrived of it already.
-func (s *boundedConn) begin(b *budget.Budget, now clock.Millis) budget.Bytes {
+// headBytes estimates the memory of a parsed header.
+func headBytes(data []byte) budget.Bytes {
+	return budget.Bytes(len(data)*headFactor + bytes.Count(data, []byte{'\n'})*headLineBytes)
+}
+
+// begin marks the start of a request; it returns false if it has begun already.
+func (s *boundedConn) begin(b *budget.Budget, now clock.Millis) bool {
 	if p := s.reservation.Phase(); p != budget.PhaseNew && p != budget.PhaseIdle {
-		return 0
+		return false
 	}
 	b.Begin(&s.reservation, now)
-	return s.carried
+	return true
 }
 
 // reserve adds memory to the request and evicts others for it.
@@ -214,7 +234,8 @@
 		return
 	}
 	tc.bounded.inHandler = true
-	if carried := tc.bounded.begin(b.Budget, b.Now()); carried > 0 && !tc.reserve(carried) {
+	// Without a read since the last request, the whole header is in the server's buffer.
+	if tc.bounded.begin(b.Budget, b.Now()) && tc.bounded.carried > 0 && !tc.reserve(tc.bounded.carried) {
 		tc.bounded.readStopped = true
 		tc.close()
 	}
@@ -223,7 +244,7 @@
 // requestEnded releases what the request has taken.
 func (tc *trackedConn) requestEnded() {
 	if b := tc.tracker.bounds; b.Budget != nil {
-		tc.bounded.inHandler = false
+		tc.bounded.inHandler, tc.bounded.deadlinesSet = false, 0
 		b.Budget.End(&tc.bounded.reservation, b.Now())
 	}
 }
--- a/link/socket/conn_tracker.go
+++ b/link/socket/conn_tracker.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +26,8 @@
 	// bounds limits what connections take, if its Budget isn't nil.
 	bounds Bounds
 	closes map[CloseReason]int64
+	// waiters are the responses that wait for room, the oldest first.
+	waiters []*responseWaiter
 }
 
 // firstRequestTimeout is how long a drain waits for the first request of a new connection:
@@ -42,6 +45,8 @@
 	tracker *ConnTracker
 	phase   phase // Guarded by tracker.mu.
 	bounded boundedConn
+	// readPending is true while data was read that isn't accounted for yet.
+	readPending atomic.Bool
 }
 
 // phase is the state of a connection.
@@ -114,6 +119,7 @@
 	if n == 0 {
 		return n, err
 	}
+	tc.readPending.Store(true)
 	if ok, refuse := tc.received(p[:n]); !ok {
 		if refuse {
 			writeRefusal(tc.Conn)
@@ -128,6 +134,7 @@
 func (tc *trackedConn) received(data []byte) (ok, refuse bool) {
 	tc.tracker.mu.Lock()
 	defer tc.tracker.mu.Unlock()
+	tc.readPending.Store(false)
 	if tc.phase == phaseClosed {
 		return false, false
 	}
@@ -194,6 +201,7 @@
 func (tc *trackedConn) SetReadDeadline(t time.Time) error {
 	tc.tracker.mu.Lock()
 	defer tc.tracker.mu.Unlock()
+	tc.bounded.deadlinesSet++
 	if tc.phase == phaseInterrupted || tc.bounded.readStopped {
 		return nil
 	}
--- a/policy/budget/budget_test.go
+++ b/policy/budget/budget_test.go
@@ -113,7 +113,7 @@
 	Convey("Large requests can't use the part that is set aside for small ones", t, func() {
 		b := newTestBudget(Limits{Bytes: 1000 * kb, Large: 500 * kb})
 		b.request("large", 400*kb, 0, 0)
-		second := b.request("second", 60*kb, 0, 0)
+		second := b.request("second", 150*kb, 0, 0)
 		_, ok := b.Reserve(second, 60*kb, 0)
 		So(ok, ShouldBeFalse)
 		So(b.Usage().Large, ShouldEqual, 400*kb)
@@ -176,8 +176,8 @@
 		So(ok, ShouldBeTrue)
 		_, ok = b.Forward(b.open("second", 0), kb, 0)
 		So(ok, ShouldBeFalse)
-		So(b.ReserveResponse(r, 8*kb), ShouldBeTrue)
-		So(b.ReserveResponse(r, 8*kb), ShouldBeFalse)
+		So(b.ReserveResponse(r, 8*kb, 0), ShouldBeTrue)
+		So(b.ReserveResponse(r, 8*kb, 0), ShouldBeFalse)
 		b.End(r, 1)
 		So(b.Usage(), ShouldResemble, Usage{Bytes: 2 * kb, Connections: 2})
 		b.Close(r)
@@ -223,7 +223,7 @@
 			case action == 5 && r.Phase() == PhaseActive:
 				victims, _ = b.Forward(r, 32*kb, now)
 			case action == 6 && r.Phase() == PhaseForwarded:
-				b.ReserveResponse(r, n)
+				b.ReserveResponse(r, n, now)
 			case action == 7:
 				b.End(r, now)
 			case action == 8:
@@ -258,3 +258,133 @@
 		}
 	}))
 }
+
+// TestGrowingResponses guards against responses that have taken the whole share together and all
+// wait for more, so that none ends.
+func TestGrowingResponses(t *testing.T) {
+	Convey("Of many responses that grow at the same time one always has room up to its end", t, func() {
+		b := newTestBudget(Limits{Responses: 11 * MB})
+		sizes := []Bytes{32 * kb, 64 * kb, 128 * kb, 256 * kb}
+		type response struct {
+			*Reservation
+			step int
+			held Bytes
+		}
+		var waiting []*response
+		for range 200 {
+			r := b.open("r", 0)
+			b.Begin(r, 0)
+			_, ok := b.Forward(r, 0, 0)
+			So(ok, ShouldBeTrue)
+			waiting = append(waiting, &response{Reservation: r})
+		}
+		for len(waiting) > 0 {
+			var rest []*response
+			grown := 0
+			for _, r := range waiting {
+				n := sizes[r.step]
+				if !b.ReserveResponse(r.Reservation, n, 0) {
+					rest = append(rest, r)
+					continue
+				}
+				grown++
+				b.ReleaseResponse(r.Reservation, r.held)
+				r.step, r.held = r.step+1, n
+				if r.step < len(sizes) {
+					rest = append(rest, r)
+					continue
+				}
+				b.End(r.Reservation, 0)
+			}
+			So(b.Usage().Responses, ShouldBeLessThanOrEqualTo, 11*MB)
+			So(grown, ShouldBeGreaterThan, 0)
+			waiting = rest
+		}
+		So(b.Usage().Responses, ShouldEqual, 0)
+	})
+}
+
+// TestNewRequestStays guards against closing a connection whose complete request has just arrived
+// and isn't forwarded yet in favour of any newer one.
+func TestNewRequestStays(t *testing.T) {
+	Convey("A request counts as slow only after some time", t, func() {
+		for age := clock.Millis(0); age < headStartTime; age += 5 {
+			b := newTestBudget(Limits{Connections: 1})
+			b.request("new", kb, 1000, 1000)
+			_, ok := b.Open(&Reservation{}, kb, 1000+age)
+			SoMsg(age.Duration().String(), ok, ShouldBeFalse)
+		}
+		b := newTestBudget(Limits{Connections: 1})
+		b.request("slow", kb, 1000, 1000)
+		_, ok := b.Open(&Reservation{}, kb, 1000+headStartTime)
+		So(ok, ShouldBeTrue)
+	})
+}
+
+// TestRefusedRequestStays guards against closing a connection while the refusal of its request is
+// being written: a request that had waited long for an endpoint counted as the slowest one.
+func TestRefusedRequestStays(t *testing.T) {
+	Convey("The time before a refusal doesn't make a request slow", t, func() {
+		b := newTestBudget(Limits{Connections: 2})
+		refused := b.request("refused", kb, 0, 0)
+		_, ok := b.Forward(refused, 0, 0)
+		So(ok, ShouldBeTrue)
+		b.request("slow", kb, 4000, 4900)
+		b.Refuse(refused, 5000)
+		victims, ok := b.Open(&Reservation{}, kb, 5000)
+		So(ok, ShouldBeTrue)
+		So(b.nameAll(victims), ShouldResemble, []string{"slow"})
+	})
+}
+
+// TestStoppedBeforeIdle guards against closing the connection of a request that was evicted for its
+// memory, and is about to be answered, although idle connections can be closed.
+func TestStoppedBeforeIdle(t *testing.T) {
+	rows := []struct {
+		name    string
+		idle    bool
+		victims []string
+	}{
+		{"an idle connection", true, []string{"stalled", "idle"}},
+		{"no other connection", false, []string{"stalled", "stalled"}},
+	}
+	Convey("A request that was evicted for its memory keeps its connection while another can be closed", t, func() {
+		for _, row := range rows {
+			b := newTestBudget(Limits{Bytes: 30 * kb})
+			b.request("stalled", 5*kb, 0, 0)
+			if row.idle {
+				idle := b.open("idle", 0)
+				b.Begin(idle, 0)
+				b.End(idle, 1)
+			}
+			n := b.limits.Bytes - kb // The memory of one connection remains.
+			if !row.idle {
+				n += kb
+			}
+			victims, ok := b.Open(&Reservation{}, n, 3000)
+			SoMsg(row.name, ok, ShouldBeTrue)
+			SoMsg(row.name, b.nameAll(victims), ShouldResemble, row.victims)
+		}
+	})
+}
+
+// TestUnreadProgress guards against evicting every upload after the process was paused: none has
+// made progress, but their data waits to be read.
+func TestUnreadProgress(t *testing.T) {
+	Convey("A request whose data waits to be read hasn't stalled", t, func() {
+		b := newTestBudget(Limits{Bytes: 40 * kb})
+		paused := b.request("paused", 10*kb, 0, 0)
+		b.request("stalled", 10*kb, 0, 100)
+		b.Arrived = func(r *Reservation) bool { return r == paused }
+		victims, ok := b.Open(&Reservation{}, 20*kb, 2000)
+		So(ok, ShouldBeTrue)
+		So(b.nameAll(victims), ShouldResemble, []string{"stalled"})
+		Convey("but it may be evicted as a slow one, after the connection of the stalled one", func() {
+			b.Arrived = func(r *Reservation) bool { return true }
+			r := b.request("fast", 0, 2000, 2000)
+			victims, ok := b.Reserve(r, 9*kb, 2000)
+			So(ok, ShouldBeTrue)
+			So(b.nameAll(victims), ShouldResemble, []string{"stalled", "paused"})
+		})
+	})
+}
--- a/policy/budget/eviction.go
+++ b/policy/budget/eviction.go
@@ -1,11 +1,15 @@
 package budget
 
-import "foxtailbridge/policy/clock"
+import (
+	"slices"
+
+	"foxtailbridge/policy/clock"
+)
 
 // order says which reservations may be evicted, and which of them first. Within a step of the
 // order the one that has made no progress for the longest time goes first, and of those that
 // make progress the slowest.
-type order [5]step
+type order [6]step
 
 // step is a group of reservations.
 type step string
@@ -16,15 +20,19 @@
 	stepIdle    step = "idle"
 	stepNew     step = "new"
 	stepSlow    step = "slow"
+	// stepStopped is for requests that the same eviction has stopped for their memory: they are
+	// about to be answered.
+	stepStopped step = "stopped"
 )
 
 var (
 	// byConnections is the order when connections are short. After those that end anyway, idle
 	// connections go first: no request is lost, and their clients open others.
-	byConnections = order{stepEnding, stepIdle, stepNew, stepStalled, stepSlow}
+	byConnections = order{stepEnding, stepIdle, stepNew, stepStalled, stepSlow, stepStopped}
 	// byBytes is the order when memory is short. Requests that have stalled go first, as they
-	// hold more memory than idle connections and their clients misbehave.
-	byBytes = order{stepStalled, stepEnding, stepIdle, stepNew, stepSlow}
+	// hold more memory than idle connections and their clients misbehave. Their
+	// connections go last in the same eviction.
+	byBytes = order{stepStalled, stepEnding, stepIdle, stepNew, stepSlow, stepStopped}
 	// byLarge is the order when the part for large requests is short.
 	byLarge = order{stepStalled, stepSlow}
 )
@@ -55,8 +63,12 @@
 		if victim == nil {
 			return false
 		}
-		if idle := victim.phase == PhaseNew || victim.phase == PhaseIdle; idle && e.budget.Arrived != nil && e.budget.Arrived(victim) {
+		idle := victim.phase == PhaseNew || victim.phase == PhaseIdle
+		stalled := victim.phase == PhaseActive && e.now-victim.progressAt >= stallTime
+		if (idle || stalled) && e.budget.Arrived != nil && e.budget.Arrived(victim) {
 			e.budget.Begin(victim, e.now)
+			// After a pause of the process every request seems to have stalled.
+			e.budget.Progress(victim, 0, e.now)
 			continue
 		}
 		e.victims, e.before = append(e.victims, victim), append(e.before, *victim)
@@ -112,6 +124,9 @@
 	waited := e.now - r.progressAt
 	switch r.phase {
 	case PhaseEnding:
+		if slices.Contains(e.victims, r) {
+			return stepStopped, float64(waited)
+		}
 		return stepEnding, float64(waited)
 	case PhaseIdle:
 		return stepIdle, float64(waited)
@@ -121,7 +136,8 @@
 		if waited >= stallTime {
 			return stepStalled, float64(waited)
 		}
-		if rate := r.rate(e.now); rate < own {
+		// The rate of a newcomer is the head start alone; no young request reaches it.
+		if rate := r.rate(e.now); e.now-r.startedAt >= headStartTime && rate < own {
 			return stepSlow, 1 / rate
 		}
 	}
