--- a/policy/budget/budget.go
+++ b/policy/budget/budget.go
@@ -10,7 +10,8 @@
 
 const (
 	// smallRequest is the memory up to which a request is small: a chunked body of 64 KB takes
-	// 80 KB in pieces and 64 KB when they are joined; the rest is for parsed headers. Larger ones can't use the part of the budget beyond Limits.Large.
+	// 80 KB in pieces and 64 KB when they are joined; the rest is for parsed headers. Larger
+	// ones can't use the part of the budget beyond Limits.Large.
 	smallRequest = 192 << 10
 	// stallTime is how long a request may make no progress before it is evicted in favour of
 	// any other. TCP retransmits lost packets sooner.
