--- a/link/socket/bounds_test.go
+++ b/link/socket/bounds_test.go
@@ -47,6 +47,16 @@
 	}
 }
 
+// awaitIdle waits until one connection is idle.
+func (f *fixture) awaitIdle(t *testing.T) {
+	t.Helper()
+	f.await(t, "idle", func(budget.Usage) bool {
+		f.tracker.mu.Lock()
+		defer f.tracker.mu.Unlock()
+		return f.tracker.counts[phaseIdle] == 1
+	})
+}
+
 // isClosed reports whether the server closes the connection.
 func isClosed(r *bufio.Reader) bool {
 	_, err := r.ReadByte()
@@ -75,11 +85,7 @@
 	if !readResponse(idleReader) {
 		t.Fatal("no response on the third connection")
 	}
-	f.await(t, "idle", func(budget.Usage) bool {
-		f.tracker.mu.Lock()
-		defer f.tracker.mu.Unlock()
-		return f.tracker.counts[phaseIdle] == 1
-	})
+	f.awaitIdle(t)
 	second, _ := f.dial(t)
 	if !isClosed(idleReader) {
 		t.Error("the idle connection was not closed")
@@ -325,11 +331,7 @@
 	if !readResponse(reader) {
 		t.Fatal("no first response")
 	}
-	f.await(t, "idle", func(budget.Usage) bool {
-		f.tracker.mu.Lock()
-		defer f.tracker.mu.Unlock()
-		return f.tracker.counts[phaseIdle] == 1
-	})
+	f.awaitIdle(t)
 	func() {
 		f.tracker.mu.Lock()
 		defer f.tracker.mu.Unlock()
