--- a/policy/budget/shares.go
+++ b/policy/budget/shares.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// SoftMemoryRatio is the share of the memory that is the soft limit of the Go runtime; near
+	// softMemoryRatio is the share of the memory that is the soft limit of the Go runtime; near
 	// it the garbage collector runs more often. The rest is for fragmentation, and for data
 	// that the kernel has received.
-	SoftMemoryRatio = 0.8
+	softMemoryRatio = 0.8
 	// processBytes is the memory of the process without callers: the runtime, and the view of
 	// a large installation.
 	processBytes = 20 * MB
@@ -62,7 +62,7 @@
 func Divide(memory Bytes, descriptors int) Shares {
 	var s Shares
 	if memory > 0 {
-		s.SoftMemory = Bytes(float64(memory) * SoftMemoryRatio)
+		s.SoftMemory = Bytes(float64(memory) * softMemoryRatio)
 		total := float64(s.SoftMemory-processBytes) * liveRatio
 		s.Callers.Responses = Bytes(total * responseRatio)
 		s.Callers.Bytes = Bytes(total) - s.Callers.Responses
