link/socket: One Listen, one place for keep-alive and TCP options

ListenBounded repeated Listen, whose last caller it had replaced, and the code that sets a TCP option of a new socket. Listen takes its place with the bounded receive window; dialer and listener share the keep-alive settings and tcpOption. Behaviour is unchanged.

scripts/lint.sh, -race on link/..., platform, consumer, replica and store, and platform/hostile pass.

--- a/link/socket/socket.go
+++ b/link/socket/socket.go
@@ -18,6 +18,10 @@
 	keepIdle     = 2 * time.Second
 	keepInterval = time.Second
 	keepCount    = 2
+	// receiveWindow bounds the data that the kernel holds for an accepted connection that isn't
+	// read; without it the kernel accepts 128 KB, and up to 32 MB on a connection that was read
+	// quickly before.
+	receiveWindow = 64 << 10
 	// idleTimeout closes idle HTTP connections between our own processes and to the store.
 	idleTimeout = 5 * time.Second
 	// maxIdlePerHost limits the idle connections to one host.
@@ -27,31 +31,37 @@
 	MaxHeaderBytes = 32 << 10
 )
 
+// keepAlive detects a dead peer.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount}
+
 // NewDialer returns a dialer with a connect timeout, whose connections fail when the
 // peer stops acknowledging data.
 func NewDialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         timeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount},
-		Control:         control,
+		KeepAliveConfig: keepAlive,
+		Control:         tcpOption(unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond)),
 	}
 }
 
-// control sets TCP_USER_TIMEOUT on a new socket.
-func control(_, _ string, raw syscall.RawConn) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
-	})
-	if err != nil {
-		return err
+// tcpOption returns a Control function that sets a TCP option of a new socket.
+func tcpOption(option, value int) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var optErr error
+		err := raw.Control(func(fd uintptr) {
+			optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, option, value)
+		})
+		if err != nil {
+			return err
+		}
+		return optErr
 	}
-	return optErr
 }
 
-// Listen returns a TCP listener whose connections use keep-alive to detect a dead peer.
+// Listen returns a TCP listener whose connections use keep-alive to detect a dead peer, and hold
+// at most receiveWindow bytes unread.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount}}
+	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: tcpOption(unix.TCP_WINDOW_CLAMP, receiveWindow)}
 	return config.Listen(ctx, "tcp", address)
 }
 
@@ -85,25 +95,3 @@
 	})
 	return stale || err != nil
 }
-
-// receiveWindow bounds the data that the kernel holds for a connection that isn't read; without it
-// the kernel accepts 128 KB, and up to 32 MB on a connection that was read quickly before.
-const receiveWindow = 64 << 10
-
-// ListenBounded is like Listen, but bounds the unread data of each connection.
-func ListenBounded(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var optErr error
-			err := raw.Control(func(fd uintptr) {
-				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, receiveWindow)
-			})
-			if err != nil {
-				return err
-			}
-			return optErr
-		},
-	}
-	return config.Listen(ctx, "tcp", address)
-}
