link/socket: A background read adds to the next header's reservation

Cause: while a handler runs, net/http reads one byte in the background to detect that the client has disconnected. If the begin of the next header was already in the read buffer and the client sent more before the handler's response was finished, this byte replaced the reservation for that begin instead of adding to it. A client could so have headers parsed without room for them.

Ruled out: a connection that is read before its header deadlines are set; net/http sets three of them after the response of the first request.

The read is told apart by its size: net/http reads at least a buffer otherwise. Reads of a body still replace the reservation, as they start with an empty buffer (TestBodyLines).

--- a/link/socket/bounds.go
+++ b/link/socket/bounds.go
@@ -31,6 +31,10 @@
 	// serverBuffer is the size of net/http's read buffer. What a read of this size has brought
 	// may be the begin of the next request.
 	serverBuffer = 4 << 10
+	// backgroundReadSize is the size of the read with which net/http detects during a handler that
+	// the client has disconnected. What it brings follows the data in the read buffer; any other
+	// read during a handler starts with an empty buffer.
+	backgroundReadSize = 1
 	// headerDeadlines is how often net/http sets the read deadline between the end of a request and
 	// parsing the next header: before and after it waits for the first bytes. If it reads before
 	// that, its buffer was empty, and what was read last was no part of the header.
@@ -168,7 +172,7 @@
 
 // reserveRead accounts for what was read. It returns false if there is no room, and whether the
 // client has to be told, which needs no answer of the handler.
-func (tc *trackedConn) reserveRead(data []byte) (ok, refuse bool) {
+func (tc *trackedConn) reserveRead(data []byte, background bool) (ok, refuse bool) {
 	b := tc.tracker.bounds
 	if b.Budget == nil {
 		return true, false
@@ -182,7 +186,10 @@
 		cost = s.carried
 	}
 	b.Budget.Progress(&s.reservation, budget.Bytes(len(data)), now)
-	if len(data) <= serverBuffer {
+	switch {
+	case background && s.inHandler:
+		s.carried += headBytes(data)
+	case len(data) <= serverBuffer:
 		s.carried = headBytes(data)
 	}
 	switch {
--- a/link/socket/bounds_test.go
+++ b/link/socket/bounds_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -408,3 +409,76 @@
 		t.Errorf("%d bytes are reserved for a header of %d fields", reserved[1], fields)
 	}
 }
+
+// TestPartialHeaderAndBackgroundRead guards against the byte that the server reads in the background
+// while a handler runs replacing the reservation for the header data that arrived before it.
+func TestPartialHeaderAndBackgroundRead(t *testing.T) {
+	const fields = 400
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	counting := &countingListener{Listener: l}
+	head := "GET / HTTP/1.1\r\nHost: h\r\n"
+	begin := head + "\r\n" + head + strings.Repeat("a:b\r\n", fields)
+	var reserved []budget.Bytes
+	f := &fixture{tracker: NewConnTracker(), addr: l.Addr().String()}
+	inHandler := make(chan struct{})
+	handler := func(http.ResponseWriter, *http.Request) {
+		usage, _ := f.tracker.Usage()
+		reserved = append(reserved, usage.Bytes)
+		if len(reserved) > 1 {
+			return
+		}
+		close(inHandler)
+		for deadline := time.Now().Add(10 * time.Second); counting.read.Load() <= int64(len(begin)); time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Error("no background read")
+				return
+			}
+		}
+	}
+	f.tracker.SetBounds(Bounds{Budget: budget.New(budget.Limits{Bytes: 4 << 20}), Now: clock.New().Mono})
+	f.server = &http.Server{Handler: http.HandlerFunc(handler), ConnState: f.tracker.ConnState, ConnContext: ConnContext}
+	tracked := f.tracker.Listener(counting)
+	go func() { _ = f.server.Serve(tracked) }() // Closed by the cleanup.
+	t.Cleanup(func() { f.server.Close() })
+	conn, reader := f.dial(t)
+	if _, err := io.WriteString(conn, begin); err != nil {
+		t.Fatal(err)
+	}
+	<-inHandler
+	if _, err := io.WriteString(conn, "\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if !readResponse(reader) {
+			t.Fatal("no response")
+		}
+	}
+	if reserved[1] < fields*headLineBytes {
+		t.Errorf("%d bytes are reserved for a header of %d fields", reserved[1], fields)
+	}
+}
+
+// countingListener counts the bytes that its connections have read.
+type countingListener struct {
+	net.Listener
+	read atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &countingConn{Conn: conn, read: &l.read}, err
+}
+
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
--- a/link/socket/conn_tracker.go
+++ b/link/socket/conn_tracker.go
@@ -120,7 +120,7 @@
 		return n, err
 	}
 	tc.readPending.Store(true)
-	if ok, refuse := tc.received(p[:n]); !ok {
+	if ok, refuse := tc.received(p[:n], len(p) == backgroundReadSize); !ok {
 		if refuse {
 			writeRefusal(tc.Conn)
 		}
@@ -129,9 +129,10 @@
 	return n, err
 }
 
-// received marks a request as in flight and accounts for what was read. It returns false if
-// the connection must not be read any further; refuse says that the client has to be told.
-func (tc *trackedConn) received(data []byte) (ok, refuse bool) {
+// received marks a request as in flight and accounts for what was read, in the background while
+// the handler runs or otherwise. It returns false if the connection must not be read any further;
+// refuse says that the client has to be told.
+func (tc *trackedConn) received(data []byte, background bool) (ok, refuse bool) {
 	tc.tracker.mu.Lock()
 	defer tc.tracker.mu.Unlock()
 	tc.readPending.Store(false)
@@ -139,7 +140,7 @@
 		return false, false
 	}
 	tc.markBusy()
-	return tc.reserveRead(data)
+	return tc.reserveRead(data, background)
 }
 
 // markBusy marks a request as in flight, even on a connection whose read was interrupted;
