policy/loadlist: Instances pass on sums of any kind with their loads

Instances told each other requests and failures by endpoint only. A kind that an instance does not know is passed on, so that old and new instances can run side by side. The number of kinds and keys is bounded, as a malformed message could otherwise grow the list.

No behaviour changes: nothing is told yet. go test ./policy/loadlist ./policy/placement ./entry/relay ./entry/forward: ok.

--- a/entry/relay/loads.go
+++ b/entry/relay/loads.go
@@ -24,9 +24,9 @@
 		m.LoadsBase = p.sentLoads.Version
 		changed := p.sentLoads.Diff(loads)
 		p.sentLoads.Apply(changed)
-		m.Loads, m.Failures = changed.InFlight, changed.Failures
+		m.Loads, m.Failures, m.Sums = changed.InFlight, changed.Failures, changed.Sums
 	} else {
-		m.Loads, m.Failures = loads.InFlight, loads.Failures
+		m.Loads, m.Failures, m.Sums = loads.InFlight, loads.Failures, loads.Sums
 		p.sentLoads.Loads = loads.Clone()
 	}
 	p.sentLoads.scope, p.sentLoads.Version = scope, m.LoadsVersion
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -73,13 +73,14 @@
 	// Tallies holds the sender's own tallies when sent to its zone's reader, and the
 	// aggregated tallies of zones when sent between readers.
 	Tallies []tallyRow `json:"rows,omitempty"`
-	// Loads and Failures hold the loadlist.Loads of the instances in LoadsScope. If LoadsBase is
-	// set, they hold only the changes since the list of that version.
-	Loads        loadlist.Counts  `json:"loads,omitempty"`
-	Failures     loadlist.Counts  `json:"failures,omitempty"`
-	LoadsScope   LoadScope        `json:"loads-of,omitempty"`
-	LoadsVersion loadlist.Version `json:"loads-at,omitempty"`
-	LoadsBase    loadlist.Version `json:"loads-since,omitempty"`
+	// Loads, Failures and Sums hold the loadlist.Loads of the instances in LoadsScope. If LoadsBase
+	// is set, they hold only the changes since the list of that version.
+	Loads        loadlist.Counts                `json:"loads,omitempty"`
+	Failures     loadlist.Counts                `json:"failures,omitempty"`
+	Sums         map[loadlist.Kind]loadlist.Sum `json:"sums,omitempty"`
+	LoadsScope   LoadScope                      `json:"loads-of,omitempty"`
+	LoadsVersion loadlist.Version               `json:"loads-at,omitempty"`
+	LoadsBase    loadlist.Version               `json:"loads-since,omitempty"`
 	// LoadsAcked is the version of the last list that the sender received from the receiver.
 	LoadsAcked loadlist.Version       `json:"loads-held,omitempty"`
 	Suspicions []quarantine.Suspicion `json:"suspicions,omitempty"`
@@ -97,7 +98,7 @@
 
 // loads returns the loads in the message.
 func (m *Message) loads() loadlist.Loads {
-	return loadlist.Loads{InFlight: m.Loads, Failures: m.Failures}
+	return loadlist.Loads{InFlight: m.Loads, Failures: m.Failures, Sums: m.Sums}
 }
 
 // LoadScope is the set of instances whose requests a load list counts.
--- a/policy/loadlist/loadlist.go
+++ b/policy/loadlist/loadlist.go
@@ -8,23 +8,48 @@
 	"foxtailbridge/policy/routing"
 )
 
-// Counts is the number of in-flight requests by endpoint.
-type Counts map[routing.EndpointID]int
+// Counts is the number of requests by endpoint.
+type Counts = CountsBy[routing.EndpointID]
+
+// CountsBy holds a whole number for each key.
+type CountsBy[K ~string] map[K]int
 
 // Clone returns a copy that is not nil even if the counts are.
-func (c Counts) Clone() Counts {
-	list := make(Counts, len(c))
+func (c CountsBy[K]) Clone() CountsBy[K] {
+	list := make(CountsBy[K], len(c))
 	maps.Copy(list, c)
 	return list
 }
 
 // Add adds other counts.
-func (c Counts) Add(other Counts) {
-	for id, n := range other {
-		c[id] += n
+func (c CountsBy[K]) Add(other CountsBy[K]) {
+	for key, n := range other {
+		c[key] += n
 	}
 }
 
+// Key identifies what one number of a Sum is about.
+type Key string
+
+// Sum is a quantity that is summed over instances, by key.
+type Sum = CountsBy[Key]
+
+// Kind names a Sum. An instance passes on kinds that it does not know.
+type Kind string
+
+// Kinds of sums.
+const (
+	// KindPrefill is the number of prompt tokens that have yet to be read, by endpoint ID, weighted
+	// by the relative cost of the model and in units of PrefillUnit.
+	KindPrefill Kind = "prefill"
+	// KindDemand is the number of requests in the last second, by workspace and rank.
+	KindDemand Kind = "demand"
+)
+
+// PrefillUnit is the number of prompt tokens that KindPrefill counts as one: exact numbers would
+// change with each request and be sent each time.
+const PrefillUnit = 256
+
 // Loads is what instances tell each other of their requests.
 type Loads struct {
 	// InFlight is the number of requests at each endpoint.
@@ -32,22 +57,34 @@
 	// Failures is the number of requests for which recent failed runs stand. Endpoints that fail
 	// look as busy as with so many more, but not full.
 	Failures Counts
+	// Sums holds further quantities by kind.
+	Sums map[Kind]Sum
 }
 
 // NewLoads returns empty Loads.
 func NewLoads() Loads {
-	return Loads{InFlight: Counts{}, Failures: Counts{}}
+	return Loads{InFlight: Counts{}, Failures: Counts{}, Sums: map[Kind]Sum{}}
 }
 
 // Clone returns a copy.
 func (l Loads) Clone() Loads {
-	return Loads{InFlight: l.InFlight.Clone(), Failures: l.Failures.Clone()}
+	sums := make(map[Kind]Sum, len(l.Sums))
+	for kind, sum := range l.Sums {
+		sums[kind] = sum.Clone()
+	}
+	return Loads{InFlight: l.InFlight.Clone(), Failures: l.Failures.Clone(), Sums: sums}
 }
 
 // Add adds other loads.
 func (l Loads) Add(other Loads) {
 	l.InFlight.Add(other.InFlight)
 	l.Failures.Add(other.Failures)
+	for kind, sum := range other.Sums {
+		if l.Sums[kind] == nil {
+			l.Sums[kind] = Sum{}
+		}
+		l.Sums[kind].Add(sum)
+	}
 }
 
 // Version numbers the lists that one instance sends another, starting at 1.
@@ -76,11 +113,31 @@
 // refresh cycle.
 func (l *List) Diff(loads Loads) Loads {
 	slot := uint64(l.Version) % refreshCycle
-	return Loads{InFlight: diff(l.InFlight, loads.InFlight, slot), Failures: diff(l.Failures, loads.Failures, slot)}
+	changed := Loads{InFlight: diff(l.InFlight, loads.InFlight, slot), Failures: diff(l.Failures, loads.Failures, slot)}
+	for kind, sum := range loads.Sums {
+		changed.addSum(kind, diff(l.Sums[kind], sum, slot))
+	}
+	for kind, sum := range l.Sums {
+		if _, ok := loads.Sums[kind]; !ok {
+			changed.addSum(kind, diff(sum, nil, slot))
+		}
+	}
+	return changed
+}
+
+// addSum adds a sum unless it is empty.
+func (l *Loads) addSum(kind Kind, sum Sum) {
+	if len(sum) == 0 {
+		return
+	}
+	if l.Sums == nil {
+		l.Sums = map[Kind]Sum{}
+	}
+	l.Sums[kind] = sum
 }
 
-func diff(from, counts Counts, slot uint64) Counts {
-	changed := Counts{}
+func diff[K ~string](from, counts CountsBy[K], slot uint64) CountsBy[K] {
+	changed := CountsBy[K]{}
 	for id, n := range counts {
 		old := from[id]
 		delta := max(n-old, old-n)
@@ -96,24 +153,42 @@
 	return changed
 }
 
-// maxCount bounds the number of requests that is believed of an endpoint: a larger one would
-// hide the endpoint from all instances, or overflow a sum.
-const maxCount = 100_000
+const (
+	// maxCount bounds the number of requests that is believed of an endpoint: a larger one would
+	// hide the endpoint from all instances, or overflow a sum.
+	maxCount = 100_000
+	// maxKinds and maxKeys bound what a malformed message can make an instance keep: there are a
+	// handful of kinds, and some hundred endpoints, workspaces or routes.
+	maxKinds = 16
+	maxKeys  = 8192
+)
 
 // Apply applies changes to the list. A number that cannot be right counts as none.
 func (l *List) Apply(changed Loads) {
 	if l.InFlight == nil {
 		l.Loads = NewLoads()
 	}
+	if l.Sums == nil {
+		l.Sums = map[Kind]Sum{}
+	}
 	apply(l.InFlight, changed.InFlight)
 	apply(l.Failures, changed.Failures)
+	for kind, sum := range changed.Sums {
+		if l.Sums[kind] == nil {
+			if len(l.Sums) >= maxKinds {
+				continue
+			}
+			l.Sums[kind] = Sum{}
+		}
+		apply(l.Sums[kind], sum)
+	}
 }
 
-func apply(counts, changed Counts) {
+func apply[K ~string](counts, changed CountsBy[K]) {
 	for id, n := range changed {
 		if n <= 0 || n > maxCount {
 			delete(counts, id)
-		} else {
+		} else if _, known := counts[id]; known || len(counts) < maxKeys {
 			counts[id] = n
 		}
 	}
--- a/policy/loadlist/loadlist_test.go
+++ b/policy/loadlist/loadlist_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -52,3 +53,33 @@
 		}
 	}))
 }
+
+// TestSums checks that sums of any kind, known or not, are passed on by their changes like the
+// counts of requests, and that a malformed message cannot make the list grow without bound.
+func TestSums(t *testing.T) {
+	var list List
+	for _, sums := range []map[Kind]Sum{
+		{KindPrefill: {"e1": 40, "e2": 7}, "unknown-kind": {"k": 3}},
+		{KindPrefill: {"e1": 41}, KindDemand: {"w/0": 12}},
+		{},
+	} {
+		list.Apply(list.Diff(Loads{Sums: sums}))
+		list.Version++
+		for _, kind := range []Kind{KindPrefill, KindDemand, "unknown-kind"} {
+			if !maps.Equal(list.Sums[kind], sums[kind]) {
+				t.Errorf("%s is %v, want %v", kind, list.Sums[kind], sums[kind])
+			}
+		}
+	}
+	malformed := Loads{Sums: map[Kind]Sum{KindPrefill: {"e": -1}}}
+	for i := range 2 * maxKinds {
+		malformed.Sums[Kind(fmt.Sprint("kind", i))] = Sum{"k": 1}
+	}
+	for i := range 2 * maxKeys {
+		malformed.Sums[KindDemand] = Sum{Key(fmt.Sprint(i)): 1}
+		list.Apply(malformed)
+	}
+	if len(list.Sums) > maxKinds || len(list.Sums[KindDemand]) > maxKeys || list.Sums[KindPrefill]["e"] != 0 {
+		t.Errorf("%d kinds, %d keys, %v", len(list.Sums), len(list.Sums[KindDemand]), list.Sums[KindPrefill])
+	}
+}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -277,6 +277,12 @@
 	return clock.Millis(tokens / prefillRate)
 }
 
+// readRate returns the number of prompt tokens that the slowest model reads in a millisecond at an
+// endpoint.
+func (q *Query) readRate(*State) float64 {
+	return prefillRate
+}
+
 // Tokens returns the total number of tokens of the parts.
 func Tokens(parts []Part) int {
 	sum := 0
@@ -358,5 +364,5 @@
 	if home {
 		cachedTokens = max(cachedTokens, homeCachedChance*float64(Tokens(shared)))
 	}
-	return (q.RelativeCost*(float64(Tokens(q.Parts))-cachedTokens)+s.PrefillTokens)/prefillRate - cachedTokens/reprefillRate
+	return (q.RelativeCost*(float64(Tokens(q.Parts))-cachedTokens)+s.PrefillTokens)/q.readRate(s) - cachedTokens/reprefillRate
 }
