policy/cascade: A floor under the value of an answer whose rank does not match it

Few requests seen ask for a larger gap.

Evidence: with the floor ignored, as before the change, value_test.go:44: long rewrites of rank 2, confidence 48: second run false value_test.go:44: long explanations of rank 1, confidence 48: second run false and the other six kinds of work in the table pass unchanged. TestValueFloorMatchedRanks finds no floor for large requests of rank 0, middle ones of rank 1 and short ones of rank 2 at prices from 0.013 to 0.28.

Ruled out: a floor for each request by its own price. Short labels of rank 2 at 0.28 are run again from 0.59 today; 0.4 would change them, and their largest ones would change at any floor. Ruled out also: comparing a route with more urgent ones, as a route alone on its service has the same fault.

go test ./policy/cascade ./entry/forward ./entry/endpoints: ok.

--- a/entry/endpoints/sizes.go
+++ b/entry/endpoints/sizes.go
@@ -60,6 +60,23 @@
 	return 0
 }
 
+// RouteMeans is the mean number of tokens of a route's requests.
+type RouteMeans struct {
+	Prompt, Output float64
+	// Requests is the number of requests seen.
+	Requests int
+}
+
+// Means returns the mean size of a route's requests.
+func (s *Sizes) Means(route catalog.RouteName) RouteMeans {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if size := s.byRoute[route]; size != nil {
+		return RouteMeans{size.prompt.Mean, size.output.Mean, size.prompt.Count}
+	}
+	return RouteMeans{}
+}
+
 // Load returns what is known of a route's requests. The engine is nil for a plain service;
 // pace is the usual time between the stream events of its largest model.
 func (s *Sizes) Load(route catalog.RouteName, engine *catalog.Engine, pace float64) rollout.RouteLoad {
--- a/entry/forward/escalate.go
+++ b/entry/forward/escalate.go
@@ -5,6 +5,7 @@
 	"foxtailbridge/policy/cascade"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/placement"
+	"foxtailbridge/policy/ticket"
 )
 
 // shouldEscalate reports whether a larger model should answer instead and an endpoint
@@ -27,10 +28,12 @@
 	if stride := t.service.Engine.TokensPerEvent; stride > 0 {
 		events /= stride
 	}
+	price := t.price(larger)
 	doubt := cascade.EscalationQuery{
 		Confidence:         response.Confidence,
 		Value:              cascade.AnswerValue(int(t.route.Rank), t.size(), t.sizes.Mean(t.route.Name)),
-		Price:              cascade.RequestPrice(t.service.Engine.Cost(larger), placement.Tokens(t.request.PromptParts), t.request.MaxTokens),
+		Floor:              cascade.ValueFloor(int(t.route.Rank), price, t.routeRequests(larger)),
+		Price:              price,
 		Utilization:        1 - float64(choice.FreeSlots)/float64(max(1, choice.Slots)),
 		FirstTokenGoal:     t.route.FirstByteGoal,
 		FirstTokenBudget:   min(t.deadline, t.request.ReceivedAt+t.route.FirstByteGoal) - now,
@@ -67,6 +70,18 @@
 	return true
 }
 
+// price returns the price of the request at a model.
+func (t *task) price(model ticket.ModelName) float64 {
+	return cascade.RequestPrice(t.service.Engine.Cost(model), placement.Tokens(t.request.PromptParts), t.request.MaxTokens)
+}
+
+// routeRequests returns what is known of the requests on the task's route, at the prices of a model.
+func (t *task) routeRequests(model ticket.ModelName) cascade.RouteRequests {
+	means := t.sizes.Means(t.route.Name)
+	price := cascade.RequestPrice(t.service.Engine.Cost(model), int(means.Prompt), int(means.Output))
+	return cascade.RouteRequests{Count: means.Requests, MeanPrice: price}
+}
+
 // size returns the weighted number of tokens by which the value of a request's response
 // is estimated.
 func (t *task) size() float64 {
--- a/policy/cascade/escalation.go
+++ b/policy/cascade/escalation.go
@@ -18,6 +18,9 @@
 	Confidence Confidence
 	// Value is the value of a good answer, in the unit of Price.
 	Value float64
+	// Floor is the least value of a good answer that is not a matter of rank, or 0; see
+	// ValueFloor.
+	Floor float64
 	// Price is the price of this request at the larger model.
 	Price float64
 	// Utilization is the slot utilization of the endpoints that could run the
@@ -80,7 +83,7 @@
 		return false
 	}
 	scarcity := 1 + scarcityPrice*min(2, max(0, q.load()-scarceLoad)/(1-scarceLoad))
-	value := q.Value
+	value := max(q.Value, q.Floor)
 	if q.FirstTokenBudget < q.ExpectedFirstToken {
 		value *= lateValueFactor
 	}
@@ -105,7 +108,7 @@
 	if mean > 0 {
 		factor = min(maxSizeFactor, minSizeFactor+(1-minSizeFactor)*size/mean)
 	}
-	return topRankValue * math.Pow(rankDecay, float64(max(0, rank))) * factor
+	return rankValue(rank) * factor
 }
 
 // promptTokenPrice is the price of a prompt token relative to a generated token.
