policy/cascade: Less urgent second runs end at less load and leave more of the retry budget

Load patterns: head-of-line blocking and priority inversion.

A run that only the floor justifies costs more at less load for each more urgent rank: the floor of rank 2 ends at a load of 0.6, where capacity gets scarce for rank 0. The load now also counts waiting requests, and the delay of the last seconds on more urgent routes with the reading time of this prompt, relative to half of their goals. Escalations leave 0.05 more of the retry budget for each more urgent rank; the 0.2 for retries after failures stays.

Ruled out: rank-dependent scarcity for all runs, as decisions on routes whose rank matches must not change (TestScarcityMatchedRanks); the usual delay over 16 responses, as it covers 10 s on an instance of 76, longer than a burst. What does change for all: a less urgent rank stops to escalate with 0.25 or 0.3 of the retry budget left, not 0.2.

Configurations index routes by service, as each low-confidence response asks for them. go test ./policy/cascade ./policy/placement ./entry/forward ./entry/endpoints: ok.

--- a/entry/endpoints/delays.go
+++ b/entry/endpoints/delays.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 
+	"foxtailbridge/policy/cascade"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/placement"
@@ -23,10 +24,34 @@
 type Delays struct {
 	mu    sync.Mutex
 	byKey map[delayKey]*delayBaseline
+	// recent holds the delay of each route in the last seconds.
+	recent map[catalog.RouteName]*cascade.RecentDelay
 }
 
 // NewDelays returns a table that knows no delays.
-func NewDelays() *Delays { return &Delays{byKey: map[delayKey]*delayBaseline{}} }
+func NewDelays() *Delays {
+	return &Delays{byKey: map[delayKey]*delayBaseline{}, recent: map[catalog.RouteName]*cascade.RecentDelay{}}
+}
+
+// RecordRecent adds a run's time to the first byte to the route's delay in the last seconds.
+func (d *Delays) RecordRecent(route catalog.RouteName, delay, now clock.Millis) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.recent[route] == nil {
+		d.recent[route] = &cascade.RecentDelay{}
+	}
+	d.recent[route].Add(delay, now)
+}
+
+// Recent returns the mean time to the first byte on a route in the last seconds, or 0.
+func (d *Delays) Recent(route catalog.RouteName, now clock.Millis) clock.Millis {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r := d.recent[route]; r != nil {
+		return r.Mean(now)
+	}
+	return 0
+}
 
 // DelayJudgement says how a delay compares with the usual one.
 type DelayJudgement struct {
--- a/entry/forward/escalate.go
+++ b/entry/forward/escalate.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"strconv"
+
 	"foxtailbridge/entry/endpoints"
 	"foxtailbridge/policy/cascade"
 	"foxtailbridge/policy/clock"
@@ -19,33 +21,53 @@
 	q, next := t.placementQuery()
 	q.Tried, q.Model, q.RelativeCost = nil, larger, t.service.Engine.RelativeCost(larger)
 	choice := t.endpoints.Peek(next.view, t.service, q)
-	if choice.State == nil || t.runs >= t.route.Attempts || t.endpoints.RetryBudgetLeft(t.service.Name) <= retryReserve {
+	if choice.State == nil || t.runs >= t.route.Attempts {
 		return false
 	}
 	now := t.clock.Mono()
+	urgent := t.urgentRoutes(now)
 	usualDelay := t.delays.Expected(t.route.Name, larger)
 	events := t.request.MaxTokens
 	if stride := t.service.Engine.TokensPerEvent; stride > 0 {
 		events /= stride
 	}
 	price := t.price(larger)
-	doubt := cascade.EscalationQuery{
+	query := cascade.EscalationQuery{
 		Confidence:         response.Confidence,
 		Value:              cascade.AnswerValue(int(t.route.Rank), t.size(), t.sizes.Mean(t.route.Name)),
 		Floor:              cascade.ValueFloor(int(t.route.Rank), price, t.routeRequests(larger)),
 		Price:              price,
 		Utilization:        1 - float64(choice.FreeSlots)/float64(max(1, choice.Slots)),
+		WaitingShare:       float64(max(choice.Waiting, choice.Excess)) / float64(max(1, choice.Slots)),
+		ReadTime:           placement.PrefillTime(float64(placement.Tokens(t.request.PromptParts))),
+		Urgent:             urgent,
 		FirstTokenGoal:     t.route.FirstByteGoal,
 		FirstTokenBudget:   min(t.deadline, t.request.ReceivedAt+t.route.FirstByteGoal) - now,
 		ExpectedFirstToken: clock.Millis(float64(usualDelay) * t.relativeReadTime()),
 		CompletionBudget:   t.deadline - now,
 		ExpectedCompletion: usualDelay + clock.Millis(float64(events)*t.paces.Mean(larger)),
 	}
-	return doubt.Worthwhile()
+	t.basis = query.Basis()
+	if t.basis == cascade.BasisNone {
+		return false
+	}
+	if t.endpoints.RetryBudgetLeft(t.service.Name) <= cascade.RetryReserve(urgent) {
+		t.deps.Scope.Tagged(map[string]string{"rank": strconv.Itoa(int(t.route.Rank))}).Counter("escalations_over_budget").Inc(1)
+		return false
+	}
+	return true
 }
 
-// retryReserve is the share of the retry budget that is reserved for retries after failures.
-const retryReserve = 0.2
+// urgentRoutes returns the routes of the service that are more urgent than the task's.
+func (t *task) urgentRoutes(now clock.Millis) []cascade.UrgentRoute {
+	var urgent []cascade.UrgentRoute
+	for _, route := range t.view.Config.ServiceRoutes(t.service.Name) {
+		if route.Rank < t.route.Rank {
+			urgent = append(urgent, cascade.UrgentRoute{Rank: int(route.Rank), Goal: route.FirstByteGoal, Delay: t.delays.Recent(route.Name, now)})
+		}
+	}
+	return urgent
+}
 
 // escalate discards a low-confidence response in favor of a larger model's. It first
 // reserves an endpoint for that; if there is none, it keeps the response and returns
@@ -65,7 +87,9 @@
 	r.recordOutcome(false)
 	r.close()
 	t.assignment = escalated
-	t.logger.Info("escalate", "request", t.request.ID, "endpoint", r.endpoint.ID, "model", model, "confidence", r.response.Confidence)
+	t.logger.Info("escalate", "request", t.request.ID, "endpoint", r.endpoint.ID, "model", model, "confidence", r.response.Confidence,
+		"rank", t.route.Rank, "basis", t.basis)
+	t.deps.Scope.Tagged(map[string]string{"basis": string(t.basis)}).Counter("escalations").Inc(1)
 	t.endpoints.TakeRetry(t.service.Name)
 	return true
 }
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -54,6 +54,7 @@
 	t.endpoints.PromptRead(r.state, t.request.PromptParts, r.model, r.prefillTokens)
 	r.prefillTokens = 0
 	warmingUp := now-r.state.FirstSeen < warmupSpan
+	t.delays.RecordRecent(t.route.Name, now-r.sentAt, now)
 	r.usualDelay = t.delays.Expected(t.route.Name, r.model)
 	judgement := t.delays.Judge(t.route, r.model, now-r.sentAt, r.response.Load, t.arm != ArmNew && !warmingUp)
 	if judgement.MeanKnown {
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -6,6 +6,7 @@
 
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/attempt"
+	"foxtailbridge/policy/cascade"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/placement"
@@ -70,6 +71,8 @@
 	chargeRetry bool
 	// reserved is the endpoint that escalate chose for the next attempt, or nil.
 	reserved *placement.Choice
+	// basis is what justifies the escalation that was last considered.
+	basis cascade.Basis
 	// rejections counts the attempts in a row that endpoints rejected without running
 	// them.
 	rejections int
--- a/policy/cascade/escalation.go
+++ b/policy/cascade/escalation.go
@@ -26,6 +26,13 @@
 	// Utilization is the slot utilization of the endpoints that could run the
 	// request; it may exceed 1.
 	Utilization float64
+	// WaitingShare is the number of requests that wait for a slot of these endpoints, relative
+	// to the slots.
+	WaitingShare float64
+	// ReadTime is how long the larger model takes to read the prompt.
+	ReadTime clock.Millis
+	// Urgent holds the routes of the service that are more urgent than the request's.
+	Urgent []UrgentRoute
 	// FirstTokenGoal is the longest time to the first token that counts as in time.
 	FirstTokenGoal clock.Millis
 	// FirstTokenBudget is the time left until the first token is due.
@@ -76,18 +83,41 @@
 	return max(q.Utilization, float64(q.ExpectedFirstToken)/(fullLoadGoalShare*float64(q.FirstTokenGoal)))
 }
 
-// Worthwhile reports whether a larger model should answer the request: whether the
-// expected gain in value exceeds the price and the answer completes in time.
+// Basis says what justifies a second run.
+type Basis string
+
+// What justifies a second run.
+const (
+	// BasisNone means that nothing does.
+	BasisNone Basis = ""
+	// BasisRank is the value that the rank of the route gives the answer.
+	BasisRank Basis = "rank"
+	// BasisFloor is the value floor.
+	BasisFloor Basis = "floor"
+)
+
+// Worthwhile reports whether a larger model should answer the request.
 func (q EscalationQuery) Worthwhile() bool {
+	return q.Basis() != BasisNone
+}
+
+// Basis returns what justifies that a larger model answers the request: the expected gain in
+// value must exceed the price, and the answer must complete in time.
+func (q EscalationQuery) Basis() Basis {
 	if q.Confidence == ConfidenceUnknown || float64(q.CompletionBudget) < completionMargin*float64(q.ExpectedCompletion) {
-		return false
+		return BasisNone
 	}
-	scarcity := 1 + scarcityPrice*min(2, max(0, q.load()-scarceLoad)/(1-scarceLoad))
-	value := max(q.Value, q.Floor)
+	gainShare := poorAnswerLoss * q.Confidence.PoorProbability()
 	if q.FirstTokenBudget < q.ExpectedFirstToken {
-		value *= lateValueFactor
+		gainShare *= lateValueFactor
+	}
+	switch {
+	case gainShare*q.Value > q.Price*scarcity(q.load(), scarceLoad):
+		return BasisRank
+	case gainShare*q.Floor > q.Price*q.floorScarcity():
+		return BasisFloor
 	}
-	return poorAnswerLoss*value*q.Confidence.PoorProbability() > q.Price*scarcity
+	return BasisNone
 }
 
 const (
--- a/policy/catalog/catalog.go
+++ b/policy/catalog/catalog.go
@@ -180,7 +180,9 @@
 	Services   map[ticket.ServiceName]*Service
 
 	byHost map[string][]*Route
-	byKey  map[APIKey]*Workspace
+	// byService holds the routes that each service may run, sorted by name.
+	byService map[ticket.ServiceName][]*Route
+	byKey     map[APIKey]*Workspace
 }
 
 // NewConfig returns a Config that indexes the routes by host and the workspaces by key.
@@ -191,11 +193,20 @@
 		RequireKey: requireKey,
 		Services:   map[ticket.ServiceName]*Service{},
 		byHost:     map[string][]*Route{},
+		byService:  map[ticket.ServiceName][]*Route{},
 		byKey:      map[APIKey]*Workspace{},
 	}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
+		for _, w := range r.Split {
+			if !slices.Contains(c.byService[w.Service], r) {
+				c.byService[w.Service] = append(c.byService[w.Service], r)
+			}
+		}
+	}
+	for _, list := range c.byService {
+		slices.SortFunc(list, func(a, b *Route) int { return cmp.Compare(a.Name, b.Name) })
 	}
 	for _, list := range c.byHost {
 		slices.SortFunc(list, func(a, b *Route) int {
@@ -302,16 +313,17 @@
 // RoutesOf returns the sorted names of the routes that a service may run.
 func (c *Config) RoutesOf(service ticket.ServiceName) []RouteName {
 	var names []RouteName
+	for _, r := range c.ServiceRoutes(service) {
+		names = append(names, r.Name)
+	}
+	return names
+}
+
+// ServiceRoutes returns the routes that a service may run, sorted by name. The caller must not
+// change the list.
+func (c *Config) ServiceRoutes(service ticket.ServiceName) []*Route {
 	if c == nil {
 		return nil
 	}
-	for _, list := range c.byHost {
-		for _, r := range list {
-			if slices.ContainsFunc(r.Split, func(w WeightedService) bool { return w.Service == service }) {
-				names = append(names, r.Name)
-			}
-		}
-	}
-	slices.Sort(names)
-	return names
+	return c.byService[service]
 }
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -67,6 +67,8 @@
 	Slots int
 	// Waiting is the number of requests queued at accepted endpoints.
 	Waiting int
+	// Excess is the number of requests in flight beyond the slots of accepted endpoints.
+	Excess int
 	// PackedEndpoints is the number of endpoints that packed requests fill, or 0 if the
 	// request is not packed.
 	PackedEndpoints int
@@ -167,7 +169,9 @@
 			}
 		case !s.InBackoff(q.Now):
 			best.Slots += s.Endpoint.Slots
-			best.FreeSlots += max(0, s.Endpoint.Slots-s.InFlight(q.Now))
+			free := s.Endpoint.Slots - s.InFlight(q.Now)
+			best.FreeSlots += max(0, free)
+			best.Excess += max(0, -free)
 			best.Waiting += s.Waiting(q.Now)
 		}
 		if reason := q.check(s); reason != routing.Permitted {
