readiness: Fail the check while a service is out of this instance's reach

Load pattern: a zone is cut off while its own endpoints are drained.

The check fails after 1 s in which no endpoint of a service with routes could be reached and at least one of those that may get requests is in a zone that is cut off. It passes with the first response or probe; one endpoint of each zone is probed a second meanwhile. Refusals then close their connection. The decision is policy/readiness, without I/O.

Without the two calls in handleReady and Serve:

--- FAIL: TestOutOfReachFailsReadiness: out of reach: status 503, Connection "", readiness 200 --- FAIL: TestReadiness/own_zone_drained,_others_cut_off: status 503, closes false, ready false --- FAIL: TestReadiness/everything_out_of_reach: status 503, closes false, ready false

With them, go test ./policy/readiness ./policy/placement ./entry/endpoints ./entry/forward ./platform ./platform/consumer passes; with -race, policy/readiness, entry/endpoints, entry/forward and platform do. The test harness guards its sets of dead endpoints by its lock now, as probes run beside the test.

--- a/entry/endpoints/reachability.go
+++ b/entry/endpoints/reachability.go
@@ -68,20 +68,32 @@
 	return status != nil && now < status.backoffUntil
 }
 
+// cutOff reports whether the zone counts as cut off: enough of its endpoints in a row could not be
+// reached, and no host of it has responded since. Unlike a backoff, this does not end with time.
+func (z zoneTable) cutOff(name ticket.ZoneName) bool {
+	status := z[name]
+	return status != nil && status.consecutiveFailures >= ZoneFailureThreshold
+}
+
 // RecordResponse records that response headers arrived, with the load that the endpoint
 // reported, or nil.
 func (t *Tracker) RecordResponse(s *placement.State, service *catalog.Service, load *placement.Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.deps.Clock.Mono()
+	t.markReachable(s, service, now)
+	if load != nil {
+		s.SetReportedLoad(*load, now)
+	}
+}
+
+// markReachable records that the endpoint responded; the caller holds the lock.
+func (t *Tracker) markReachable(s *placement.State, service *catalog.Service, now clock.Millis) {
 	t.zones.markReachable(s.Endpoint.Zone)
 	if s.MarkReachable(now) && service.ColdDuration > 0 {
 		// An endpoint that was unreachable may have restarted, with an empty cache.
 		s.ClearCached()
 	}
-	if load != nil {
-		s.SetReportedLoad(*load, now)
-	}
 }
 
 // RecordActivity records that data arrived from the endpoint.
--- a/entry/endpoints/tracker.go
+++ b/entry/endpoints/tracker.go
@@ -73,9 +73,7 @@
 // prepareQuery completes a query from this instance's state; the caller holds the lock.
 func (t *Tracker) prepareQuery(view *registry.State, service *catalog.Service, q *placement.Query) *pool {
 	q.Now = t.deps.Clock.Mono()
-	if t.states.sync(view, q.Now, t.leaving) {
-		t.leaving.prune(q.Now, t.states.byRun)
-	}
+	t.syncView(view, q.Now)
 	for _, s := range t.held.removeEnded(q.Now) {
 		t.deps.Logger.Info("endpoint-hold-ended", "endpoint", s.Endpoint.ID, "started-at", int64(s.Endpoint.StartedAt))
 	}
@@ -89,6 +87,13 @@
 	return p
 }
 
+// syncView updates the states to the view; the caller holds the lock.
+func (t *Tracker) syncView(view *registry.State, now clock.Millis) {
+	if t.states.sync(view, now, t.leaving) {
+		t.leaving.prune(now, t.states.byRun)
+	}
+}
+
 // CountRequest counts a request of a service by its shared part, for its retry budget too. It
 // returns how many endpoints should share that part.
 func (t *Tracker) CountRequest(service ticket.ServiceName, parts []placement.Part) (homes int) {
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -60,6 +60,7 @@
 	paces     *endpoints.Paces
 	sizes     *endpoints.Sizes
 	releases  *releaseRouter
+	reach     reach
 }
 
 // New returns a Forwarder and registers its in-flight counts with the relay.
@@ -103,6 +104,7 @@
 func (f *Forwarder) Serve(ctx context.Context, request *Request, writer ResponseWriter) Result {
 	t := &task{Forwarder: f, request: request, writer: writer, assignment: assignment{view: f.deps.Registry.View()}}
 	result := t.serve(ctx)
+	f.closeIfOutOfReach(&result)
 	t.record(&result)
 	return result
 }
--- a/entry/forward/harness_test.go
+++ b/entry/forward/harness_test.go
@@ -32,7 +32,7 @@
 	relay    *relay.Relay
 	// respond returns the response to each send; n counts from 1.
 	respond func(n int, a *Attempt) (*Response, error)
-	// mu guards sent while requests are running.
+	// mu guards sent while requests are running, and dead and refusing while probes are.
 	mu   sync.Mutex
 	sent []*Attempt
 	dead map[routing.EndpointID]bool
@@ -119,6 +119,8 @@
 				return h.respond(n, a)
 			},
 			Probe: func(_ context.Context, e *catalog.Endpoint) error {
+				h.mu.Lock()
+				defer h.mu.Unlock()
 				switch {
 				case h.dead[e.ID]:
 					return fault.New("probe", KindNotSent, "scripted")
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -232,6 +232,8 @@
 	Abort bool
 	// LocalReply is true if the response comes from the router, not from an endpoint.
 	LocalReply bool
+	// CloseConnection is true if the caller should use another connection for its next request.
+	CloseConnection bool
 }
 
 func localReply(status int, reason Reason, retryAfter clock.Millis) Result {
--- /dev/null
+++ b/policy/readiness/doc.go
@@ -0,0 +1,3 @@
+// Package readiness decides, from what an instance knows of its endpoints, whether the load
+// balancer should send new connections to other instances.
+package readiness
