--- a/policy/placement/state.go
+++ b/policy/placement/state.go
@@ -6,6 +6,7 @@
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/share"
+	"foxtailbridge/policy/speed"
 	"foxtailbridge/policy/ticket"
 )
 
@@ -23,6 +24,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is how many times as long as usual work takes there now, or 0 if the endpoint
+	// does not report it.
+	Slowdown speed.Factor
 }
 
 // highLoadUtilization is the share of busy slots from which an endpoint is under high load:
@@ -71,6 +75,7 @@
 	coldLimiter         share.TokenBucket
 	reportedLoad        Load
 	reportedAt          clock.Millis
+	slowdown            speed.Slowdown
 	peerLoad            int
 	peerFailures        int
 	peerLoadAt          clock.Millis
@@ -232,6 +237,14 @@
 	s.reportedLoad = load
 	s.reportedAt = now
 	s.ownInFlightAtReport = s.OwnInFlight
+	if load.Slowdown > 0 {
+		s.slowdown.Report(load.Slowdown, now)
+	}
+}
+
+// Slowdown returns how many times as long as usual work is expected to take at the endpoint.
+func (s *State) Slowdown(now clock.Millis) speed.Factor {
+	return s.slowdown.At(now)
 }
 
 // SetPeerLoad records the requests in flight and the failures that all other instances
--- /dev/null
+++ b/policy/speed/slowdown.go
@@ -0,0 +1,36 @@
+package speed
+
+import (
+	"math"
+
+	"foxtailbridge/policy/clock"
+)
+
+// Factor is how many times as long as usual work takes; 1 means as long as usual.
+type Factor float64
+
+// slowdownDecay is the time constant with which a reported slowdown is forgotten. Endpoints that
+// share their machines change their speed about every 0.6 s, and a report that is a second old
+// says nearly nothing: a twelfth of it is left then.
+const slowdownDecay = 400 * clock.Millis(1)
+
+// Slowdown is the latest report of how long work takes at an endpoint. The zero value means
+// that nothing was reported.
+type Slowdown struct {
+	reported   Factor
+	reportedAt clock.Millis
+}
+
+// Report records what the endpoint reported.
+func (s *Slowdown) Report(f Factor, now clock.Millis) {
+	s.reported, s.reportedAt = f, now
+}
+
+// At returns the factor to expect, which decays from the reported one to 1.
+func (s Slowdown) At(now clock.Millis) Factor {
+	if s.reported == 0 {
+		return 1
+	}
+	age := max(0, now-s.reportedAt)
+	return 1 + (s.reported-1)*Factor(math.Exp(-float64(age)/float64(slowdownDecay)))
+}
