policy/placement: Instances tell each other the prompt backlog of endpoints

Load pattern: head-of-line blocking by long prompts of other instances. An endpoint's cost held the unread prompts of the own instance only, and the loads that instances exchange are counts of requests, in which a prompt of 50,000 tokens weighs as much as one of 800. An instance of a large deployment sees one hundredth of the long prompts.

Each instance now reports its unread weighted prompt tokens by endpoint (loadlist.KindPrefill). The sum of the others is part of the cost of an endpoint that is the same for all requests, so that it is spread like the load: costLevel reckons with the reading time of the arrivals, and drawByRoom draws by what is left.

Only services whose prompts differ are affected: the size-biased mean of the prompts, which is what an arrival finds being read, is at least twice their mean. The 95th percentile would miss one long prompt in 20. Backlogs under the mean prompt are not reported, as they are read before others learn of them, and in lists of over 64 endpoints changes of up to 12 units wait for the refresh cycle.

Without reports costs are the same as before. The bytes on the wire are not measured yet.

--- a/entry/endpoints/loads.go
+++ b/entry/endpoints/loads.go
@@ -8,7 +8,8 @@
 	"foxtailbridge/policy/ticket"
 )
 
-// LocalLoads returns this instance's in-flight requests and recent failures at each endpoint.
+// LocalLoads returns this instance's in-flight requests and recent failures at each endpoint, and
+// its prompt tokens that have yet to be read there if a service's prompts differ in length.
 func (t *Tracker) LocalLoads() loadlist.Loads {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -22,6 +23,21 @@
 			loads.Failures[run.ID] += n
 		}
 	}
+	backlog := loadlist.Sum{}
+	for _, p := range t.states.pools {
+		if !p.prompts.Varied() {
+			continue // The requests in flight say the same, at no further cost.
+		}
+		for _, s := range p.states {
+			// A smaller backlog is read before others learn of it.
+			if n := loadlist.PrefillUnits(s.PrefillTokens); n > 0 && s.PrefillTokens >= p.prompts.VariedMean() {
+				backlog[loadlist.Key(s.Endpoint.ID)] += n
+			}
+		}
+	}
+	if len(backlog) > 0 {
+		loads.Sums[loadlist.KindPrefill] = backlog
+	}
 	return loads
 }
 
@@ -30,7 +46,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.deps.Clock.Mono()
+	backlog := loads.Sums[loadlist.KindPrefill]
 	for run, s := range t.states.byRun {
+		s.SetPeerBacklog(float64(backlog[loadlist.Key(run.ID)])*loadlist.PrefillUnit, now)
 		s.SetPeerLoad(loads.InFlight[run.ID], loads.Failures[run.ID], now)
 	}
 }
--- a/entry/endpoints/pool.go
+++ b/entry/endpoints/pool.go
@@ -12,6 +12,8 @@
 	failures placement.MovingAverage
 	retries  retryBudget
 	times    runTimes
+	// prompts are the sizes of the prompts that this instance has sent.
+	prompts placement.PromptSizes
 }
 
 const (
--- a/entry/endpoints/tracker.go
+++ b/entry/endpoints/tracker.go
@@ -60,6 +60,9 @@
 	if choice.State != nil && !q.Acquire(choice.State) {
 		choice.State, choice.Endpoint, choice.Reason = nil, nil, routing.ReasonCold
 	}
+	if choice.State != nil && p.prompts.Add(q.RelativeCost*float64(placement.Tokens(q.Parts))) {
+		t.deps.Logger.Info("prompt-sizes", "service", service.Name, "varied", p.prompts.Varied(), "ratio", p.prompts.Ratio())
+	}
 	return choice
 }
 
@@ -83,6 +86,7 @@
 	q.ColdRate = share.FleetShare * service.ColdRate / float64(instances)
 	q.ZoneUnreachable = func(zone ticket.ZoneName) bool { return zone != q.Zone && t.zones.inBackoff(zone, q.Now) }
 	p := t.states.pool(service.Name)
+	q.MeanPrompt = p.prompts.VariedMean()
 	if instances > 1 {
 		q.Arrivals = max(1, placement.StaleArrivals(p.states, p.times.mean(), instances, q.Now))
 	}
--- a/policy/loadlist/loadlist.go
+++ b/policy/loadlist/loadlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -50,6 +51,12 @@
 // change with each request and be sent each time.
 const PrefillUnit = 256
 
+// PrefillUnits returns a number of weighted prompt tokens in units of PrefillUnit, at most
+// maxCount.
+func PrefillUnits(tokens float64) int {
+	return int(min(maxCount, max(0, math.Round(tokens/PrefillUnit))))
+}
+
 // Loads is what instances tell each other of their requests.
 type Loads struct {
 	// InFlight is the number of requests at each endpoint.
@@ -104,6 +111,10 @@
 	toleranceDivisor = 4
 	// maxExact is the length up to which lists are sent exactly, because they are small.
 	maxExact = 64
+	// prefillTolerance is by how much a KindPrefill of a long list may differ whatever the one last
+	// sent, in units: the backlog of an endpoint is another with nearly each list. 12 units are
+	// 33 ms of reading at 92 tokens a ms and 88 ms at 35.
+	prefillTolerance = 12
 	// refreshCycle is the number of lists in which each load is sent exactly at least once.
 	refreshCycle = 8
 )
@@ -113,13 +124,13 @@
 // refresh cycle.
 func (l *List) Diff(loads Loads) Loads {
 	slot := uint64(l.Version) % refreshCycle
-	changed := Loads{InFlight: diff(l.InFlight, loads.InFlight, slot), Failures: diff(l.Failures, loads.Failures, slot)}
+	changed := Loads{InFlight: diff(l.InFlight, loads.InFlight, slot, 0), Failures: diff(l.Failures, loads.Failures, slot, 0)}
 	for kind, sum := range loads.Sums {
-		changed.addSum(kind, diff(l.Sums[kind], sum, slot))
+		changed.addSum(kind, diff(l.Sums[kind], sum, slot, kind.tolerance()))
 	}
 	for kind, sum := range l.Sums {
 		if _, ok := loads.Sums[kind]; !ok {
-			changed.addSum(kind, diff(sum, nil, slot))
+			changed.addSum(kind, diff(sum, nil, slot, 0))
 		}
 	}
 	return changed
@@ -136,12 +147,20 @@
 	l.Sums[kind] = sum
 }
 
-func diff[K ~string](from, counts CountsBy[K], slot uint64) CountsBy[K] {
+// tolerance returns by how much a number of a long list may differ whatever the one last sent.
+func (k Kind) tolerance() int {
+	if k == KindPrefill {
+		return prefillTolerance
+	}
+	return 0
+}
+
+func diff[K ~string](from, counts CountsBy[K], slot uint64, tolerance int) CountsBy[K] {
 	changed := CountsBy[K]{}
 	for id, n := range counts {
 		old := from[id]
 		delta := max(n-old, old-n)
-		if delta > old/toleranceDivisor || delta > 0 && len(counts) <= maxExact || delta > 0 && xxhash.Sum64String(string(id))%refreshCycle == slot {
+		if delta > max(old/toleranceDivisor, tolerance) || delta > 0 && len(counts) <= maxExact || delta > 0 && xxhash.Sum64String(string(id))%refreshCycle == slot {
 			changed[id] = n
 		}
 	}
--- a/policy/loadlist/loadlist_test.go
+++ b/policy/loadlist/loadlist_test.go
@@ -83,3 +83,48 @@
 		t.Errorf("%d kinds, %d keys, %v", len(list.Sums), len(list.Sums[KindDemand]), list.Sums[KindPrefill])
 	}
 }
+
+// TestPrefillTolerance guards against a cost of messages that grows with the number of endpoints:
+// the backlog of nearly each of them is a little different with each list.
+func TestPrefillTolerance(t *testing.T) {
+	for _, tt := range []struct {
+		endpoints, change, want int
+	}{
+		{maxExact, 1, maxExact},
+		{8 * maxExact, prefillTolerance, maxExact},
+		{8 * maxExact, prefillTolerance + 1, 8 * maxExact},
+		{8 * maxExact, -20, 8 * maxExact},
+	} {
+		list, backlog := List{}, Sum{}
+		send := func() int {
+			changed := list.Diff(Loads{Sums: map[Kind]Sum{KindPrefill: backlog}})
+			list.Apply(changed)
+			list.Version++
+			return len(changed.Sums[KindPrefill])
+		}
+		for i := range tt.endpoints {
+			backlog[Key(fmt.Sprint("e", i))] = 20
+		}
+		send()
+		for key := range backlog {
+			if backlog[key] += tt.change; backlog[key] == 0 {
+				delete(backlog, key)
+			}
+		}
+		// Small changes are sent in an eighth of the lists each.
+		if got := send(); got > tt.want+tt.want/4 || got < tt.want*3/4 {
+			t.Errorf("%d endpoints, changes of %d: %d sent, want about %d", tt.endpoints, tt.change, got, tt.want)
+		}
+		for range refreshCycle {
+			send()
+		}
+		if !maps.Equal(list.Sums[KindPrefill], backlog) {
+			t.Errorf("%d endpoints, changes of %d: the list differs after a refresh cycle", tt.endpoints, tt.change)
+		}
+	}
+	for _, tokens := range []float64{-5, 0, 100, 1e12} {
+		if n := PrefillUnits(tokens); n < 0 || n > maxCount {
+			t.Errorf("%.0f tokens are %d units", tokens, n)
+		}
+	}
+}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -45,6 +45,9 @@
 	// Arrivals is the number of requests that other instances are expected to have sent to
 	// the service's endpoints since the loads were told, or 0 if the loads are exact.
 	Arrivals float64
+	// MeanPrompt is the mean number of weighted prompt tokens of the service's requests, or 0 if
+	// its prompts are alike. The backlog that other instances report then is no part of the cost.
+	MeanPrompt float64
 	// Homes is the number of endpoints that share the prompt's last shared part; 0 means one.
 	Homes int
 	// AllowUnconfirmed allows an endpoint that was unreachable and has not responded since.
@@ -339,7 +342,8 @@
 
 // newOption returns an endpoint with the costs that are the same for all requests.
 func (q *Query) newOption(s *State) option {
-	o := option{state: s, utilization: s.Utilization(q.Now)}
+	o := option{state: s, utilization: s.Utilization(q.Now), costPerArrival: q.MeanPrompt / q.readRate(s)}
+	o.fixedCost = q.peerBacklogTime(s)
 	if s.Endpoint.Zone != q.Zone {
 		o.fixedCost += crossZoneCost + crossZoneCostPerKB*float64(q.CrossZoneBytes)/1024
 	}
--- a/policy/placement/spread.go
+++ b/policy/placement/spread.go
@@ -23,21 +23,16 @@
 	return utilizationCost*utilization + overloadCost*max(0, utilization-overloadUtilization)
 }
 
-// utilizationAt is the inverse of loadCost.
-func utilizationAt(cost float64) float64 {
-	if threshold := loadCost(overloadUtilization); cost > threshold {
-		return overloadUtilization + (cost-threshold)/(utilizationCost+overloadCost)
-	}
-	return cost / utilizationCost
-}
-
 // option is an endpoint that may get a request.
 type option struct {
 	state *State
 	// fixedCost is the part of the cost that is the same for all requests and does not depend
-	// on the endpoint's load.
+	// on the endpoint's utilization.
 	fixedCost   float64
 	utilization float64
+	// costPerArrival is what an arrival adds to the cost beside its utilization: the time to read
+	// its prompt, where prompts differ in length.
+	costPerArrival float64
 }
 
 // cost is the cost that is the same for all requests.
@@ -47,10 +42,18 @@
 
 // room returns the number of requests that raise the endpoint's cost to the level.
 func (o option) room(level float64) float64 {
-	if level <= o.cost() {
+	rest := level - o.cost()
+	if rest <= 0 {
 		return 0
 	}
-	return (utilizationAt(level-o.fixedCost) - o.utilization) * float64(o.state.Endpoint.Slots)
+	slots := float64(o.state.Endpoint.Slots)
+	// perSlots is the cost of as many requests as the endpoint has slots.
+	perSlots := utilizationCost + o.costPerArrival*slots
+	untilOverload := max(0, overloadUtilization-o.utilization)
+	if rest <= untilOverload*perSlots {
+		return rest / perSlots * slots
+	}
+	return (untilOverload + (rest-untilOverload*perSlots)/(perSlots+overloadCost)) * slots
 }
 
 // costLevel returns the cost to which the given number of arrivals raises the cheapest
--- a/policy/placement/state.go
+++ b/policy/placement/state.go
@@ -74,6 +74,7 @@
 	peerLoad            int
 	peerFailures        int
 	peerLoadAt          clock.Millis
+	peerBacklog         peerBacklog
 	ownInFlightAtReport int
 	leaving             bool
 	heldOffUntil        clock.Millis
