entry/forward: Requests start on the model with the least expected cost

Load patterns: priority inversion in the retry budget, and herding. All requests of a route with several models start on the smallest.

The confidence of answers is counted by route, model, size class and band, decays within seconds, and is summed over the fleet by a new kind of the relay's loads. A request starts where its expected cost is least: price, then for each band a second run or the loss of keeping the answer. A retry costs what refused escalations would have gained, 0 while none is refused. With fewer than 30 answers, without reported confidence, or with load, the smallest is used as before: starts on larger models stop between a load of 0.35 and 0.5 for the most urgent rank, 0.1 lower for each more urgent one.

Evidence before (the start always on the smallest model): --- FAIL: TestStartOnLargest/each_answer_is_dropped escalate_test.go:117: 0 of 40 start on the largest model After: 30 to 39 of 40 do, the rest try the smallest in any case.

Numbers of answers change with each request, so the relay sends small differences only every eighth time for this kind: 1,030 of 8,000 numbers in TestAnswersAreSentApproximately, 8,000 before.

Ruled out: a fixed rule from 30 prices on, wasteful where the smallest model is nearly always right; a price of retries by the used share of the budget, which would change deployments whose budget suffices. Not done: learning the middle model's answers, which would take requests on it.

go test ./policy/cascade ./policy/loadlist ./entry/relay ./entry/endpoints ./entry/forward: ok.

--- a/entry/forward/escalate.go
+++ b/entry/forward/escalate.go
@@ -24,16 +24,33 @@
 	if choice.State == nil || t.runs >= t.route.Attempts {
 		return false
 	}
+	urgent := t.urgentRoutes(t.clock.Mono())
+	query := t.escalationQuery(choice, larger, urgent)
+	query.Confidence = response.Confidence
+	t.basis = query.Basis()
+	if t.basis == cascade.BasisNone {
+		return false
+	}
+	allowed := t.endpoints.RetryBudgetLeft(t.service.Name) > cascade.RetryReserve(urgent)
+	t.answers.RecordEscalation(t.service.Name, query.NetGain(), allowed)
+	if !allowed {
+		t.deps.Scope.Tagged(map[string]string{"rank": strconv.Itoa(int(t.route.Rank))}).Counter("escalations_over_budget").Inc(1)
+	}
+	return allowed
+}
+
+// escalationQuery returns the query whether a larger model should run the request, for an answer of
+// unknown confidence.
+func (t *task) escalationQuery(choice placement.Choice, larger ticket.ModelName, urgent []cascade.UrgentRoute) cascade.EscalationQuery {
 	now := t.clock.Mono()
-	urgent := t.urgentRoutes(now)
 	usualDelay := t.delays.Expected(t.route.Name, larger)
 	events := t.request.MaxTokens
 	if stride := t.service.Engine.TokensPerEvent; stride > 0 {
 		events /= stride
 	}
 	price := t.price(larger)
-	query := cascade.EscalationQuery{
-		Confidence:         response.Confidence,
+	return cascade.EscalationQuery{
+		Confidence:         cascade.ConfidenceUnknown,
 		Value:              cascade.AnswerValue(int(t.route.Rank), t.size(), t.sizes.Mean(t.route.Name)),
 		Floor:              cascade.ValueFloor(int(t.route.Rank), price, t.routeRequests(larger)),
 		Price:              price,
@@ -47,15 +64,6 @@
 		CompletionBudget:   t.deadline - now,
 		ExpectedCompletion: usualDelay + clock.Millis(float64(events)*t.paces.Mean(larger)),
 	}
-	t.basis = query.Basis()
-	if t.basis == cascade.BasisNone {
-		return false
-	}
-	if t.endpoints.RetryBudgetLeft(t.service.Name) <= cascade.RetryReserve(urgent) {
-		t.deps.Scope.Tagged(map[string]string{"rank": strconv.Itoa(int(t.route.Rank))}).Counter("escalations_over_budget").Inc(1)
-		return false
-	}
-	return true
 }
 
 // urgentRoutes returns the routes of the service that are more urgent than the task's.
--- a/entry/forward/escalate_test.go
+++ b/entry/forward/escalate_test.go
@@ -1,12 +1,14 @@
 package forward
 
 import (
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"foxtailbridge/entry/registry"
+	"foxtailbridge/policy/cascade"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/ticket"
 )
@@ -71,3 +73,87 @@
 		})
 	}
 }
+
+// TestStartOnLargest guards against a first try whose answer is dropped every time, and against
+// prompts on the largest model while the endpoints are busy.
+func TestStartOnLargest(t *testing.T) {
+	rows := []struct {
+		name       string
+		confidence cascade.Confidence
+		inFlight   int
+		larger     bool
+	}{
+		{"each answer is dropped", 5, 0, true},
+		{"the same, endpoints two thirds full", 5, 4, false},
+		{"the answers are good", 90, 0, false},
+		{"no confidence is reported", cascade.ConfidenceUnknown, 0, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness()
+				time.Sleep(time.Second) // Let the load estimates expire.
+				h.respond = func(_ int, a *Attempt) (*Response, error) {
+					if a.Model == small {
+						return streamResponse(row.confidence, io.EOF, "1"), nil
+					}
+					return streamResponse(90, io.EOF, "1"), nil
+				}
+				starts := func(from int) (largest int) {
+					for i := range 40 {
+						h.fillEndpoints(row.inFlight, "")
+						first := len(h.sent)
+						h.serve(t.Context(), "/note/x", func(r *Request) { r.ID = RequestID(fmt.Sprint(from + i)) })
+						if h.sent[first].Model == large {
+							largest++
+						}
+					}
+					return largest
+				}
+				if before := starts(0); before > 10 {
+					t.Errorf("%d requests start on the largest model before 30 answers are known", before)
+				}
+				starts(40)
+				if after := starts(80); row.larger != (after > 0) || row.larger && (after < 30 || after > 39) {
+					t.Errorf("%d of 40 start on the largest model", after)
+				}
+			})
+		})
+	}
+}
+
+// TestStartByAnswersOfOthers guards against each instance learning alone, and against an instance
+// that resumes or is cut off choosing by answers that others no longer report.
+func TestStartByAnswersOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		poor := func(_ int, a *Attempt) (*Response, error) {
+			if a.Model == small {
+				return streamResponse(5, io.EOF, "1"), nil
+			}
+			return streamResponse(90, io.EOF, "1"), nil
+		}
+		other, h := newHarness(), newHarness()
+		other.respond, h.respond = poor, poor
+		for range 100 {
+			other.serve(t.Context(), "/note/x", func(r *Request) { r.ID = "id0" }) // Always starts on the smallest model.
+		}
+		starts := func() (largest int) {
+			for i := range 20 {
+				first := len(h.sent)
+				h.serve(t.Context(), "/note/x", func(r *Request) { r.ID = RequestID(fmt.Sprint("id", i)) })
+				if h.sent[first].Model == large {
+					largest++
+				}
+			}
+			return largest
+		}
+		h.relay.OnRemoteLoads(other.relay.LocalLoads())
+		if got := starts(); got < 15 {
+			t.Errorf("%d of 20 start on the largest model by the answers of another instance", got)
+		}
+		time.Sleep(2 * time.Second)
+		if got := starts(); got > 0 {
+			t.Errorf("%d of 20 start on the largest model 2 s after the last report", got)
+		}
+	})
+}
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -59,10 +59,11 @@
 	delays    *endpoints.Delays
 	paces     *endpoints.Paces
 	sizes     *endpoints.Sizes
+	answers   *endpoints.Answers
 	releases  *releaseRouter
 }
 
-// New returns a Forwarder and registers its in-flight counts with the relay.
+// New returns a Forwarder and registers its loads with the relay.
 func New(l *Limits, deps Dependencies) *Forwarder {
 	logger := deps.Logger.Named("forward")
 	limits := &atomic.Pointer[Limits]{}
@@ -82,10 +83,11 @@
 		delays:   endpoints.NewDelays(),
 		paces:    endpoints.NewPaces(),
 		sizes:    endpoints.NewSizes(),
+		answers:  endpoints.NewAnswers(deps.Clock, deps.Scope, deps.Relay.InstanceCount),
 		releases: newReleaseRouter(deps.Clock, limits, deps.Relay, logger),
 	}
-	deps.Relay.LocalLoads = f.endpoints.LocalLoads
-	deps.Relay.OnRemoteLoads = f.endpoints.SetPeerLoads
+	deps.Relay.LocalLoads = f.localLoads
+	deps.Relay.OnRemoteLoads = f.setPeerLoads
 	deps.Relay.OnLeaving = func(e relay.LeavingEndpoint, source string) { f.endpoints.MarkLeaving(endpoints.Run(e), source) }
 	return f
 }
--- a/entry/forward/loads.go
+++ b/entry/forward/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"foxtailbridge/policy/catalog"
+	"foxtailbridge/policy/loadlist"
 	"foxtailbridge/policy/rollout"
 	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/ticket"
@@ -29,3 +30,16 @@
 	}
 	return list
 }
+
+// localLoads returns what this instance reports to others.
+func (f *Forwarder) localLoads() loadlist.Loads {
+	loads := f.endpoints.LocalLoads()
+	f.answers.AddReport(&loads)
+	return loads
+}
+
+// setPeerLoads takes what all other instances report.
+func (f *Forwarder) setPeerLoads(loads loadlist.Loads) {
+	f.endpoints.SetPeerLoads(loads)
+	f.answers.SetPeers(loads)
+}
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -93,11 +93,11 @@
 		t.writer.OnDeadline(t.deadline)
 	}
 	t.lastEventID = t.request.LastEventID
-	if t.request.AnyModel && len(t.route.Models) > 0 {
-		t.model = t.route.Models[0]
-	}
 	t.homes = t.endpoints.CountRequest(t.service.Name, t.request.PromptParts)
 	t.sizes.Add(t.route.Name, placement.Tokens(t.request.PromptParts), t.request.MaxTokens)
+	if t.request.AnyModel && len(t.route.Models) > 0 {
+		t.model = t.startModel()
+	}
 	for {
 		choice := t.nextEndpoint(ctx)
 		if choice.State == nil {
@@ -178,6 +178,9 @@
 		t.resumeBackoff, t.rejections = 0, 0
 		outcome.Result = attempt.ResultAnswered
 		r.recordHead()
+		if !t.headSent && t.model != "" && response.Confidence != cascade.ConfidenceUnknown {
+			t.answers.Record(t.answerKind(t.model), response.Confidence)
+		}
 		if t.shouldEscalate(response) {
 			outcome.Result = attempt.ResultLowConfidence
 		}
--- a/policy/cascade/scarcity.go
+++ b/policy/cascade/scarcity.go
@@ -89,26 +89,46 @@
 // RecentDelay is the mean time to the first token of the requests of the last seconds. Unlike a
 // mean over a number of requests, it falls when no more arrive. It is not safe for concurrent use.
 type RecentDelay struct {
-	sum, weight float64
-	updatedAt   clock.Millis
+	mean decayingMean
 }
 
 // Add adds the time to the first token of a request.
 func (d *RecentDelay) Add(delay, now clock.Millis) {
-	d.decay(now)
-	d.sum += float64(delay)
-	d.weight++
+	d.mean.add(float64(delay), delayDecay, now)
 }
 
 // Mean returns the mean delay, or 0 if there were no requests lately.
 func (d *RecentDelay) Mean(now clock.Millis) clock.Millis {
-	d.decay(now)
-	return clock.Millis(d.sum / (d.weight + delayPrior))
+	return clock.Millis(d.mean.value(delayPrior, delayDecay, now))
+}
+
+// decayingMean is a mean whose values lose weight with time.
+type decayingMean struct {
+	sum, weight float64
+	updatedAt   clock.Millis
+}
+
+// add adds a value; values lose weight with the time constant.
+func (m *decayingMean) add(value float64, constant, now clock.Millis) {
+	m.decay(constant, now)
+	m.sum += value
+	m.weight++
+}
+
+// value returns the mean of the values and of prior zeros.
+func (m *decayingMean) value(prior float64, constant, now clock.Millis) float64 {
+	m.decay(constant, now)
+	return m.sum / (m.weight + prior)
 }
 
 // decay moves the weights to now.
-func (d *RecentDelay) decay(now clock.Millis) {
-	factor := math.Exp(-float64(max(0, now-d.updatedAt)) / float64(delayDecay))
-	d.sum, d.weight = factor*d.sum, factor*d.weight
-	d.updatedAt = max(d.updatedAt, now)
+func (m *decayingMean) decay(constant, now clock.Millis) {
+	factor := decayFactor(now-m.updatedAt, constant)
+	m.sum, m.weight = factor*m.sum, factor*m.weight
+	m.updatedAt = max(m.updatedAt, now)
+}
+
+// decayFactor returns the part of a weight that is left after a time.
+func decayFactor(elapsed, constant clock.Millis) float64 {
+	return math.Exp(-float64(max(0, elapsed)) / float64(constant))
 }
--- a/policy/loadlist/loadlist.go
+++ b/policy/loadlist/loadlist.go
@@ -44,8 +44,20 @@
 	KindPrefill Kind = "prefill"
 	// KindDemand is the number of requests in the last second, by workspace and rank.
 	KindDemand Kind = "demand"
+	// KindAnswers is the number of answers of the last seconds by route, model, size class and band
+	// of confidence, in units of cascade.Answers.Report.
+	KindAnswers Kind = "answers"
 )
 
+// maxExact returns the length up to which sums of the kind are sent exactly. Numbers of answers
+// change all the time, and only their proportions matter.
+func (k Kind) maxExact() int {
+	if k == KindAnswers {
+		return 0
+	}
+	return maxExact
+}
+
 // PrefillUnit is the number of prompt tokens that KindPrefill counts as one: exact numbers would
 // change with each request and be sent each time.
 const PrefillUnit = 256
@@ -113,13 +125,13 @@
 // refresh cycle.
 func (l *List) Diff(loads Loads) Loads {
 	slot := uint64(l.Version) % refreshCycle
-	changed := Loads{InFlight: diff(l.InFlight, loads.InFlight, slot), Failures: diff(l.Failures, loads.Failures, slot)}
+	changed := Loads{InFlight: diff(l.InFlight, loads.InFlight, slot, maxExact), Failures: diff(l.Failures, loads.Failures, slot, maxExact)}
 	for kind, sum := range loads.Sums {
-		changed.addSum(kind, diff(l.Sums[kind], sum, slot))
+		changed.addSum(kind, diff(l.Sums[kind], sum, slot, kind.maxExact()))
 	}
 	for kind, sum := range l.Sums {
 		if _, ok := loads.Sums[kind]; !ok {
-			changed.addSum(kind, diff(sum, nil, slot))
+			changed.addSum(kind, diff(sum, nil, slot, kind.maxExact()))
 		}
 	}
 	return changed
@@ -136,7 +148,7 @@
 	l.Sums[kind] = sum
 }
 
-func diff[K ~string](from, counts CountsBy[K], slot uint64) CountsBy[K] {
+func diff[K ~string](from, counts CountsBy[K], slot uint64, maxExact int) CountsBy[K] {
 	changed := CountsBy[K]{}
 	for id, n := range counts {
 		old := from[id]
--- a/policy/loadlist/loadlist_test.go
+++ b/policy/loadlist/loadlist_test.go
@@ -83,3 +83,29 @@
 		t.Errorf("%d kinds, %d keys, %v", len(list.Sums), len(list.Sums[KindDemand]), list.Sums[KindPrefill])
 	}
 }
+
+// TestAnswersAreSentApproximately guards against counts of answers, which change with each request
+// of the fleet, being sent whole in every message, and against their proportions being lost.
+func TestAnswersAreSentApproximately(t *testing.T) {
+	const keys, rounds = 40, 200
+	var list List
+	sent := 0
+	for round := range rounds {
+		sum := Sum{}
+		for i := range keys {
+			sum[Key(fmt.Sprint("route|model|middle|", i))] = 100*(1+i%4) + round%7
+		}
+		changed := list.Diff(Loads{Sums: map[Kind]Sum{KindAnswers: sum}})
+		sent += len(changed.Sums[KindAnswers])
+		list.Apply(changed)
+		list.Version++
+		for key, n := range sum {
+			if got := list.Sums[KindAnswers][key]; max(n-got, got-n) > n/3 {
+				t.Fatalf("%d of %d at %s in round %d", got, n, key, round)
+			}
+		}
+	}
+	if sent > rounds*keys/4 {
+		t.Errorf("%d numbers sent in %d messages, of %d keys", sent, rounds, keys)
+	}
+}
