entry/forward: A stream that its caller resumes starts on the smallest model, as before

The start by expected cost could resume a stream on the largest model that the smallest began. The model is not known, and all began on the smallest until now.

Before: escalate_test.go:157: a stream that its caller resumes starts on another model than it began on. go test ./entry/forward: ok.

--- a/entry/forward/escalate_test.go
+++ b/entry/forward/escalate_test.go
@@ -151,6 +151,11 @@
 		if got := starts(); got < 15 {
 			t.Errorf("%d of 20 start on the largest model by the answers of another instance", got)
 		}
+		first := len(h.sent)
+		h.serve(t.Context(), "/note/x", func(r *Request) { r.ID, r.LastEventID = "id1", "1" })
+		if h.sent[first].Model != small {
+			t.Error("a stream that its caller resumes starts on another model than it began on")
+		}
 		time.Sleep(2 * time.Second)
 		if got := starts(); got > 0 {
 			t.Errorf("%d of 20 start on the largest model 2 s after the last report", got)
--- a/entry/forward/start.go
+++ b/entry/forward/start.go
@@ -8,10 +8,11 @@
 )
 
 // startModel returns the model on which the request runs first: the smallest, unless another has a
-// lower expected cost and the endpoints have free capacity for it.
+// lower expected cost and the endpoints have free capacity for it. A stream that the caller resumes
+// keeps to the smallest, as the model that began it is not known.
 func (t *task) startModel() ticket.ModelName {
 	ladder := t.route.Models
-	if t.service.Engine == nil || len(ladder) < 2 {
+	if t.service.Engine == nil || len(ladder) < 2 || t.request.LastEventID != "" {
 		return ladder[0]
 	}
 	largest := ladder[len(ladder)-1]
