--- a/policy/loadlist/loadlist.go
+++ b/policy/loadlist/loadlist.go
@@ -45,6 +45,9 @@
 	KindPrefill Kind = "prefill"
 	// KindDemand is the number of requests in the last second, by workspace and rank.
 	KindDemand Kind = "demand"
+	// KindAnswers is the number of answers of the last seconds by route, model, size class and band
+	// of confidence, in units of cascade.Answers.Report.
+	KindAnswers Kind = "answers"
 )
 
 // PrefillUnit is the number of prompt tokens that KindPrefill counts as one: exact numbers would
@@ -124,13 +127,13 @@
 // refresh cycle.
 func (l *List) Diff(loads Loads) Loads {
 	slot := uint64(l.Version) % refreshCycle
-	changed := Loads{InFlight: diff(l.InFlight, loads.InFlight, slot, 0), Failures: diff(l.Failures, loads.Failures, slot, 0)}
+	changed := Loads{InFlight: diff(l.InFlight, loads.InFlight, slot, requestPrecision), Failures: diff(l.Failures, loads.Failures, slot, requestPrecision)}
 	for kind, sum := range loads.Sums {
-		changed.addSum(kind, diff(l.Sums[kind], sum, slot, kind.tolerance()))
+		changed.addSum(kind, diff(l.Sums[kind], sum, slot, kind.precision()))
 	}
 	for kind, sum := range l.Sums {
 		if _, ok := loads.Sums[kind]; !ok {
-			changed.addSum(kind, diff(sum, nil, slot, 0))
+			changed.addSum(kind, diff(sum, nil, slot, kind.precision()))
 		}
 	}
 	return changed
@@ -147,20 +150,34 @@
 	l.Sums[kind] = sum
 }
 
-// tolerance returns by how much a number of a long list may differ whatever the one last sent.
-func (k Kind) tolerance() int {
-	if k == KindPrefill {
-		return prefillTolerance
+// precision says which differences from the list last sent are sent at once.
+type precision struct {
+	// maxExact is the length up to which lists are sent exactly.
+	maxExact int
+	// tolerance is by how much a number of a longer list may differ whatever the one last sent.
+	tolerance int
+}
+
+// requestPrecision is the precision of numbers of requests by endpoint.
+var requestPrecision = precision{maxExact: maxExact}
+
+// precision returns the precision with which sums of this kind are sent.
+func (k Kind) precision() precision {
+	switch k {
+	case KindPrefill:
+		return precision{maxExact: maxExact, tolerance: prefillTolerance}
+	case KindAnswers:
+		return precision{} // They change with each request, and only their proportions matter.
 	}
-	return 0
+	return requestPrecision
 }
 
-func diff[K ~string](from, counts CountsBy[K], slot uint64, tolerance int) CountsBy[K] {
+func diff[K ~string](from, counts CountsBy[K], slot uint64, p precision) CountsBy[K] {
 	changed := CountsBy[K]{}
 	for id, n := range counts {
 		old := from[id]
 		delta := max(n-old, old-n)
-		if delta > max(old/toleranceDivisor, tolerance) || delta > 0 && len(counts) <= maxExact || delta > 0 && xxhash.Sum64String(string(id))%refreshCycle == slot {
+		if delta > max(old/toleranceDivisor, p.tolerance) || delta > 0 && len(counts) <= p.maxExact || delta > 0 && xxhash.Sum64String(string(id))%refreshCycle == slot {
 			changed[id] = n
 		}
 	}
