entry/forward: A service that is short of capacity is shared fairly

Each instance now asks policy/fairshare before a request's first attempt, and tells the others its demand by service, rank and workspace (KindDemand) once half of a service's places are in use. A request that may not take capacity is refused with 503 and the new outcome over-share; it has not been sent. With 0.15 of the places free nothing is limited, so nothing changes for deployments with room.

The rate of the endpoints is estimated from their slots and how long a request occupies one, over all its attempts: an attempt's time is divided by the load of its endpoint, so that waiting there doesn't count. Attempts without a response don't count either, as a silent endpoint would look like slow work.

Load pattern: noisy neighbour, at one instance of many (TestNoisyNeighbour in entry/forward). Before: 50 of 50 requests of a workspace far over its share were sent while a service had 4 of 60 places, and 50 of 50 of a workspace beside more urgent demand. After: 2 and 10; 50 of 50 of one under its share, and of all with free endpoints.

Ruled out: demand told at all times, which for 24 workspaces, 3 ranks and 2 services is 144 numbers that change with each exchange; refusing with 429, as 503 is what callers get today if endpoints are full; a weight for each workspace, which the configuration does not have.

--- a/entry/endpoints/tracker.go
+++ b/entry/endpoints/tracker.go
@@ -122,15 +122,22 @@
 	// read.
 	PrefillTokens float64
 	Packable      bool
+	// Rejected is true if the endpoint stated that it did not run the request.
+	Rejected bool
 }
 
-// AttemptEnded removes an attempt from its endpoint's in-flight requests.
-func (t *Tracker) AttemptEnded(r EndedAttempt) {
+// AttemptEnded removes an attempt from its endpoint's in-flight requests. It returns for how long
+// the attempt occupied a slot.
+func (t *Tracker) AttemptEnded(r EndedAttempt) (slotTime clock.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now, p := t.deps.Clock.Mono(), t.states.pool(r.Service)
+	slotTime = slotTimeOf(r.State, r.SentAt, now)
 	r.State.OwnInFlight--
 	r.State.PrefillTokens -= r.PrefillTokens
-	t.states.pool(r.Service).times.add(t.deps.Clock.Mono()-r.SentAt, r.Packable)
+	p.times.add(now-r.SentAt, r.Packable)
+	p.use.countAttempt(r.Rejected, now)
+	return slotTime
 }
 
 // PackableShare returns the share of a service's in-flight requests that may be packed.
--- /dev/null
+++ b/entry/forward/admit_test.go
@@ -0,0 +1,119 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"foxtailbridge/policy/loadlist"
+	"foxtailbridge/policy/routing"
+)
+
+// newFairHarness returns a harness whose requests take 100 ms, with enough of them served to know
+// that, and where it logs.
+func newFairHarness(t *testing.T) (*harness, *bytes.Buffer) {
+	log := &bytes.Buffer{}
+	h := buildHarness("i", network{}, hclog.New(&hclog.LoggerOptions{Output: log}))
+	h.respond = func(int, *Attempt) (*Response, error) {
+		time.Sleep(100 * time.Millisecond)
+		return plainResponse(http.StatusOK), nil
+	}
+	for i := range 25 {
+		if got := h.ask(i); got.Status != http.StatusOK {
+			t.Fatalf("status %d with free endpoints", got.Status)
+		}
+	}
+	h.sent = nil
+	return h, log
+}
+
+// ask serves a request whose content differs from the others'.
+func (h *harness) ask(i int) *callerView {
+	return h.serve(context.Background(), "/safe/x", func(r *Request) {
+		r.ID, r.Body = RequestID(fmt.Sprint("r", i)), []byte(fmt.Sprint("body", i))
+	})
+}
+
+// setPeers lets other instances have requests at each plain endpoint, and demand.
+func (h *harness) setPeers(inFlight int, demand loadlist.Sum) {
+	loads := loadlist.NewLoads()
+	for i := range 4 {
+		loads.InFlight[routing.EndpointID(fmt.Sprint("plain", i))] = inFlight
+	}
+	loads.Sums[loadlist.KindDemand] = demand
+	h.setPeerLoads(loads)
+}
+
+// TestNoisyNeighbour guards against a workspace that takes the capacity of others: at an instance
+// it sees only its own requests, which are few. Requests beyond the workspace's share are refused
+// without being sent, and only while the service is short of capacity.
+func TestNoisyNeighbour(t *testing.T) {
+	rows := []struct {
+		name string
+		// inFlight is the load of each endpoint of 6 slots and 15 places. They serve 240 requests
+		// a second.
+		inFlight int
+		demand   loadlist.Sum
+		// least and most are the bounds of the number served of 50.
+		least, most int
+	}{
+		{"free endpoints", 10, loadlist.Sum{"plain/2/w": 5000}, 50, 50},
+		{"under its share", 14, loadlist.Sum{"plain/2/w": 20, "plain/2/v": 5000}, 50, 50},
+		{"over its share", 14, loadlist.Sum{"plain/2/w": 5000, "plain/2/v": 100}, 0, 10},
+		{"more urgent ones take it", 14, loadlist.Sum{"plain/2/w": 200, "plain/0/v": 5000}, 5, 25},
+		{"less urgent ones yield", 14, loadlist.Sum{"plain/2/w": 20, "plain/3/v": 5000}, 50, 50},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, log := newFairHarness(t)
+				served := 0
+				for i := range 50 {
+					h.setPeers(row.inFlight, row.demand)
+					got := h.ask(100 + i)
+					switch {
+					case got.Status == http.StatusOK:
+						served++
+					case got.Status != http.StatusServiceUnavailable || got.Reason != ReasonOverShare || !got.LocalReply || got.RetryAfter <= 0:
+						t.Fatalf("status %d, %s", got.Status, got.Reason)
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				t.Logf("%d of 50 served", served)
+				if served < row.least || served > row.most || len(h.sent) != served {
+					t.Errorf("%d of 50 served, %d sent", served, len(h.sent))
+				}
+				logged := strings.Contains(log.String(), "outcome=over-share") && strings.Contains(log.String(), "demand-age-ms=0") && strings.Count(log.String(), "capacity-short:") == 1
+				if served < 50 && !logged {
+					t.Errorf("log %s", log)
+				}
+			})
+		})
+	}
+}
+
+// TestDemandIsTold checks that other instances learn the demand of each workspace and rank before
+// the service is short of capacity, and not while it has much.
+func TestDemandIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newFairHarness(t)
+		if sums := h.localLoads().Sums; len(sums) > 0 {
+			t.Errorf("told %v with free endpoints", sums)
+		}
+		time.Sleep(time.Second)
+		h.setPeers(9, nil)
+		for i := range 5 {
+			h.ask(i)
+		}
+		if sums := h.localLoads().Sums; len(sums) != 1 || sums[loadlist.KindDemand]["plain/2/w"] != 5 {
+			t.Errorf("told %v", sums)
+		}
+	})
+}
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -60,6 +60,7 @@
 	paces     *endpoints.Paces
 	sizes     *endpoints.Sizes
 	releases  *releaseRouter
+	fairness  *fairness
 }
 
 // New returns a Forwarder and registers its in-flight counts with the relay.
@@ -83,9 +84,10 @@
 		paces:    endpoints.NewPaces(),
 		sizes:    endpoints.NewSizes(),
 		releases: newReleaseRouter(deps.Clock, limits, deps.Relay, logger),
+		fairness: newFairness(deps.Clock, logger),
 	}
-	deps.Relay.LocalLoads = f.endpoints.LocalLoads
-	deps.Relay.OnRemoteLoads = f.endpoints.SetPeerLoads
+	deps.Relay.LocalLoads = f.localLoads
+	deps.Relay.OnRemoteLoads = f.setPeerLoads
 	deps.Relay.OnLeaving = func(e relay.LeavingEndpoint, source string) { f.endpoints.MarkLeaving(endpoints.Run(e), source) }
 	return f
 }
@@ -186,6 +188,9 @@
 	if t.progress != nil && t.lastAnswered != nil {
 		args = append(args, "delay", t.lastAnswered.delay, "usual-ms", int64(t.lastAnswered.usualDelay))
 	}
+	if t.fair.Short {
+		args = append(args, "share", roundRate(t.fair.Share), "demand", roundRate(t.fair.Demand), "demand-age-ms", int64(t.fair.Age))
+	}
 	if result.RetryAfter > 0 {
 		args = append(args, "retry-after-ms", int64(result.RetryAfter))
 	}
--- a/entry/forward/place.go
+++ b/entry/forward/place.go
@@ -76,6 +76,14 @@
 	lowestRank        = 3
 )
 
+// baseQueueLimit returns the queue limit of requests of the lowest rank.
+func (t *task) baseQueueLimit() float64 {
+	if t.service.Engine != nil {
+		return engineQueueLimit
+	}
+	return plainQueueLimit
+}
+
 // placementQuery returns a query for an endpoint against the current view, and the
 // assignment to use if an attempt is sent by it. It leaves the task's own assignment
 // alone, as a running attempt is counted under the assignment with which it was sent.
@@ -87,11 +95,7 @@
 	} else {
 		next.arm, accept, next.progress = t.releases.pickArm(next.view, t.service.Name, t.route.Name, t.sessionKey())
 	}
-	queueLimit := plainQueueLimit
-	if t.service.Engine != nil {
-		queueLimit = engineQueueLimit
-	}
-	queueLimit += queueLimitPerRank * float64(max(0, lowestRank-t.rank))
+	queueLimit := t.baseQueueLimit() + queueLimitPerRank*float64(max(0, lowestRank-t.rank))
 	var pack *placement.Pack
 	if t.boundRelease == "" && next.arm == ArmNew && next.progress.phaseOn(t.route.Name).PacksEndpoints() {
 		// Packing requests onto few endpoints shows early whether a release fails under load.
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -211,6 +211,8 @@
 	ReasonNoEndpoint     Reason = "no-endpoint"
 	ReasonEndpointsFull  Reason = "endpoints-full"
 	ReasonShutdown       Reason = "shutdown"
+	// ReasonOverShare means that the service is short of capacity and that others come first.
+	ReasonOverShare Reason = "over-share"
 )
 
 // ErrShutdown is the cause with which the context of a request is canceled when the instance
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -104,9 +104,13 @@
 		return
 	}
 	r.ended = true
-	r.task.endpoints.AttemptEnded(endpoints.EndedAttempt{
-		State: r.state, Service: r.task.service.Name, SentAt: r.sentAt, PrefillTokens: r.prefillTokens, Packable: r.packable,
+	rejected := r.response != nil && r.response.NotRun
+	slotTime := r.task.endpoints.AttemptEnded(endpoints.EndedAttempt{
+		State: r.state, Service: r.task.service.Name, SentAt: r.sentAt, PrefillTokens: r.prefillTokens, Packable: r.packable, Rejected: rejected,
 	})
+	if r.response != nil && !rejected { // Without a response it is not known what the attempt occupied.
+		r.task.slotTime += slotTime
+	}
 	r.prefillTokens = 0
 }
 
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -8,6 +8,7 @@
 	"foxtailbridge/policy/attempt"
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/fairshare"
 	"foxtailbridge/policy/placement"
 	"foxtailbridge/policy/quarantine"
 	"foxtailbridge/policy/ticket"
@@ -76,6 +77,10 @@
 	// resumeBackoff is how long a started stream last waited before it looked for an
 	// endpoint again.
 	resumeBackoff clock.Millis
+	// slotTime is how long the request occupied slots of endpoints.
+	slotTime clock.Millis
+	// fair is the decision whether the request may take capacity.
+	fair fairshare.Decision
 }
 
 func (t *task) serve(ctx context.Context) Result {
@@ -95,6 +100,10 @@
 	}
 	t.homes = t.endpoints.CountRequest(t.service.Name, t.request.PromptParts)
 	t.sizes.Add(t.route.Name, placement.Tokens(t.request.PromptParts), t.request.MaxTokens)
+	if result, ok := t.takeShare(); !ok {
+		return result
+	}
+	defer t.recordSlotTime()
 	for {
 		choice := t.nextEndpoint(ctx)
 		if choice.State == nil {
