--- a/entry/endpoints/pool.go
+++ b/entry/endpoints/pool.go
@@ -14,6 +14,7 @@
 	times    runTimes
 	// prompts are the sizes of the prompts that this instance has sent.
 	prompts placement.PromptSizes
+	use     slotUse
 }
 
 const (
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -62,6 +62,7 @@
 	answers   *endpoints.Answers
 	releases  *releaseRouter
 	reach     reach
+	fairness  *fairness
 }
 
 // New returns a Forwarder and registers its loads with the relay.
@@ -86,6 +87,7 @@
 		sizes:    endpoints.NewSizes(),
 		answers:  endpoints.NewAnswers(deps.Clock, deps.Scope, deps.Relay.InstanceCount),
 		releases: newReleaseRouter(deps.Clock, limits, deps.Relay, logger),
+		fairness: newFairness(deps.Clock, logger),
 	}
 	deps.Relay.LocalLoads = f.localLoads
 	deps.Relay.OnRemoteLoads = f.setPeerLoads
@@ -190,6 +192,9 @@
 	if t.progress != nil && t.lastAnswered != nil {
 		args = append(args, "delay", t.lastAnswered.delay, "usual-ms", int64(t.lastAnswered.usualDelay))
 	}
+	if t.fair.Short {
+		args = append(args, "share", roundRate(t.fair.Share), "demand", roundRate(t.fair.Demand), "demand-age-ms", int64(t.fair.Age))
+	}
 	if result.RetryAfter > 0 {
 		args = append(args, "retry-after-ms", int64(result.RetryAfter))
 	}
--- a/entry/forward/loads.go
+++ b/entry/forward/loads.go
@@ -35,6 +35,9 @@
 func (f *Forwarder) localLoads() loadlist.Loads {
 	loads := f.endpoints.LocalLoads()
 	f.answers.AddReport(&loads)
+	if demand := f.fairness.report(); len(demand) > 0 {
+		loads.Sums[loadlist.KindDemand] = demand
+	}
 	return loads
 }
 
@@ -42,4 +45,5 @@
 func (f *Forwarder) setPeerLoads(loads loadlist.Loads) {
 	f.endpoints.SetPeerLoads(loads)
 	f.answers.SetPeers(loads)
+	f.fairness.setPeers(loads.Sums[loadlist.KindDemand])
 }
