policy/speed: Endpoints are weighed by how fast they are

Load pattern: slow endpoint, head-of-line blocking. Cause: prompts were weighed with 35 tokens a ms whatever engines read (92 and 140 on the new deployments), a busy engine was waited for as if it read 8, and an endpoint that is slow, always or as it reports, got as many requests as others until its requests piled up.

Placement adds the expected delay of a slower endpoint to its cost.

PrefillTime, by which roll-outs are planned, keeps the constant.

--- a/entry/endpoints/pool.go
+++ b/entry/endpoints/pool.go
@@ -12,6 +12,7 @@
 	failures placement.MovingAverage
 	retries  retryBudget
 	times    runTimes
+	speed    serviceSpeed
 }
 
 const (
--- a/entry/endpoints/tracker.go
+++ b/entry/endpoints/tracker.go
@@ -46,7 +46,7 @@
 func New(deps Dependencies) *Tracker {
 	t := &Tracker{deps: deps, routeFailures: failureShares{}, zones: zoneTable{}, leaving: leavingRuns{}}
 	t.states = newStateTable(deps.Random, func() *pool {
-		return &pool{retries: newRetryBudget(deps.RetryLimits(), deps.Random.Float64())}
+		return &pool{retries: newRetryBudget(deps.RetryLimits(), deps.Random.Float64()), speed: newServiceSpeed()}
 	})
 	return t
 }
@@ -83,6 +83,7 @@
 	q.ColdRate = share.FleetShare * service.ColdRate / float64(instances)
 	q.ZoneUnreachable = func(zone ticket.ZoneName) bool { return zone != q.Zone && t.zones.inBackoff(zone, q.Now) }
 	p := t.states.pool(service.Name)
+	q.ReadRate, q.Step = p.speed.readings.Rate(), p.speed.readings.Of(q.Model).Step()
 	if instances > 1 {
 		q.Arrivals = max(1, placement.StaleArrivals(p.states, p.times.mean(), instances, q.Now))
 	}
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -51,12 +51,13 @@
 func (r *run) recordHead() {
 	t := r.task
 	now := t.clock.Mono()
+	warmingUp := now-r.state.FirstSeen < warmupSpan
+	r.learnSpeed(now-r.sentAt, warmingUp)
 	t.endpoints.PromptRead(r.state, t.request.PromptParts, r.model, r.prefillTokens)
 	r.prefillTokens = 0
-	warmingUp := now-r.state.FirstSeen < warmupSpan
 	r.usualDelay = t.delays.Expected(t.route.Name, r.model)
 	judgement := t.delays.Judge(t.route, r.model, now-r.sentAt, r.response.Load, t.arm != ArmNew && !warmingUp)
-	if judgement.MeanKnown {
+	if judgement.MeanKnown && !r.slowReported() { // The mean ratio outlasts such a spell by far.
 		t.endpoints.RecordLatency(r.state, judgement.Ratio)
 	}
 	r.delay = t.delayVerdict(judgement.Slow, judgement.Known, warmingUp)
@@ -64,6 +65,34 @@
 	t.lastAnswered = r
 }
 
+// slowReport is the reported slowdown from which a response is counted as one of a slow endpoint.
+const slowReport = 1.5
+
+// slowReported reports whether the endpoint said with the response that it is slow now.
+func (r *run) slowReported() bool {
+	return r.response.Load != nil && r.response.Load.Slowdown >= slowReport
+}
+
+// learnSpeed learns from a response that has started how fast engines read prompts. A plain
+// response starts when it is complete, a resumed stream has read its own events too, a new
+// release may be of another speed, and the speed of a model that the caller chose is unknown.
+func (r *run) learnSpeed(delay clock.Millis, warmingUp bool) {
+	t := r.task
+	if r.slowReported() {
+		t.deps.Scope.Counter("slow_reports").Inc(1)
+	}
+	if t.service.Engine == nil || r.model == "" || !t.route.Stream || r.response.Next == nil || t.lastEventID != "" || t.arm == ArmNew || warmingUp {
+		return
+	}
+	rate, learned := t.endpoints.LearnSpeed(endpoints.StartedResponse{
+		State: r.state, Service: t.service.Name, Model: r.model, Parts: t.request.PromptParts,
+		RelativeCost: t.service.Engine.RelativeCost(r.model), PrefillTokens: r.prefillTokens, Delay: delay, Load: r.response.Load,
+	})
+	if learned {
+		t.deps.Scope.Tagged(map[string]string{"service": string(t.service.Name)}).Gauge("read_rate").Update(rate)
+	}
+}
+
 // delayVerdict returns the verdict on a delay.
 func (t *task) delayVerdict(slow, known, warmingUp bool) delayVerdict {
 	switch {
--- a/entry/forward/timeouts.go
+++ b/entry/forward/timeouts.go
@@ -88,9 +88,9 @@
 }
 
 const (
-	// busyReadRate is the number of prompt tokens that a busy engine reads per
-	// millisecond.
-	busyReadRate = 8
+	// busyReadRate is the number of prompt tokens that a busy engine is assumed to read
+	// per millisecond. What is learned about the model scales it.
+	busyReadRate = 8.0
 	// maxHeadGoals and maxHeadDelayFactor bound the wait for response headers at an
 	// engine that responds to other requests, as multiples of the route's goal and of
 	// the usual delay. Beyond that the response is more likely lost than late.
@@ -98,14 +98,19 @@
 	maxHeadDelayFactor = 5.0
 )
 
+// busyReadTime is how long a busy engine takes to read the request's prompt.
+func (t *task) busyReadTime() clock.Millis {
+	rate := busyReadRate * t.endpoints.ReadScale(t.service.Name, t.model)
+	return clock.Millis(float64(placement.Tokens(t.request.PromptParts)) / rate)
+}
+
 // maxHeadWait is the longest wait for response headers while another endpoint has room
 // and this one is alive.
 func (t *task) maxHeadWait(timeout clock.Millis) clock.Millis {
 	if t.service.Engine == nil {
 		return timeout
 	}
-	readTime := clock.Millis(placement.Tokens(t.request.PromptParts) / busyReadRate)
-	limit := clock.Millis(maxHeadGoals*float64(t.route.FirstByteGoal)) + readTime
+	limit := clock.Millis(maxHeadGoals*float64(t.route.FirstByteGoal)) + t.busyReadTime()
 	if usualDelay := float64(t.delays.Expected(t.route.Name, t.model)); usualDelay > 0 {
 		limit = min(limit, clock.Millis(maxHeadDelayFactor*usualDelay*max(1, t.relativeReadTime())))
 	}
--- a/loadtest/experiment/fleet.go
+++ b/loadtest/experiment/fleet.go
@@ -53,6 +53,9 @@
 	// FleetSlow slows down one endpoint in fleetSlowEvery from the middle on. An instance meets
 	// it too seldom to know from its own requests.
 	FleetSlow FleetScenario = "slow"
+	// FleetUneven has endpoints that are always slower than others, and endpoints that are slow
+	// for a moment; see fleetSpeed.
+	FleetUneven FleetScenario = "uneven"
 )
 
 // FleetLoad configures instances, endpoints and load of a fleet experiment.
@@ -77,6 +80,8 @@
 	ColdRate float64
 	// FailureShare is the share of the runs that fail at any endpoint, at once.
 	FailureShare float64
+	// HideSpeed keeps the instances from learning how fast endpoints are.
+	HideSpeed bool
 }
 
 // LargeFleet returns a fleet of the given size with the load of Kylmäkiertö's largest
@@ -122,6 +127,9 @@
 	// that a request waited for one.
 	SlowRuns int
 	SlowWait clock.Millis
+	// RunTime is the sum of the times of all runs, and Excess that of what they took longer
+	// than at an endpoint of usual speed, in milliseconds.
+	RunTime, Excess float64
 }
 
 // String formats the result as one line.
@@ -153,6 +161,7 @@
 	info      *catalog.Endpoint
 	coldUntil clock.Millis
 	slow      bool
+	speed     fleetSpeed
 	running   int
 	waiting   []*fleetRequest
 	cached    map[placement.PartID]bool
@@ -236,7 +245,7 @@
 			info: &catalog.Endpoint{
 				ID: routing.EndpointID(fmt.Sprintf("endpoint-%03d", i)), Zone: fleetZoneName(i % f.load.Zones), Slots: f.load.Slots, Release: release,
 			},
-			coldUntil: coldUntil, cached: map[placement.PartID]bool{},
+			coldUntil: coldUntil, cached: map[placement.PartID]bool{}, speed: f.newSpeed(i),
 		}
 		f.byID[e.info.ID] = i
 		f.endpoints = append(f.endpoints, e)
@@ -277,15 +286,6 @@
 	return f.result
 }
 
-// slowDown slows down a few endpoints.
-func (f *fleet) slowDown() {
-	for i, e := range f.endpoints {
-		if i%fleetSlowEvery == 0 {
-			e.slow = true
-		}
-	}
-}
-
 // scheduleArrivals schedules all requests as a Poisson process.
 func (f *fleet) scheduleArrivals() {
 	rate := f.load.Utilization * float64(f.load.Endpoints*f.load.Slots) / float64(f.load.MeanRun)
@@ -420,6 +420,7 @@
 // arrive takes a request at an endpoint.
 func (f *fleet) arrive(e *fleetEndpoint, r *fleetRequest) {
 	f.result.Arrivals++
+	f.advanceSpeed(&e.speed)
 	if f.now < e.coldUntil {
 		e.arrivals = append(e.arrivals, f.now)
 	}
@@ -440,11 +441,8 @@
 	e.peak = max(e.peak, e.running+len(e.waiting))
 }
 
-func (f *fleet) loadOf(e *fleetEndpoint) placement.Load {
-	return placement.Load{Running: e.running, Waiting: len(e.waiting), Slots: f.load.Slots}
-}
-
 func (f *fleet) run(e *fleetEndpoint, r *fleetRequest) {
+	f.advanceSpeed(&e.speed)
 	e.running++
 	_ = f.result.Wait.RecordValue(int64(f.now - r.arrived))
 	r.state.PrefillTokens = 0
@@ -457,6 +455,7 @@
 		r.state.RecordCached([]placement.Part{{ID: r.part, Tokens: f.load.PartTokens}}, "m", f.now)
 	}
 	took := clock.Millis(f.random.ExpFloat64() * float64(f.load.MeanRun))
+	took = f.atSpeed(e, r, took)
 	if e.slow {
 		took *= fleetSlowdown
 		f.result.SlowRuns++
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -47,6 +47,11 @@
 	Arrivals float64
 	// Homes is the number of endpoints that share the prompt's last shared part; 0 means one.
 	Homes int
+	// ReadRate is the number of prompt tokens that the slowest model reads in a millisecond, and
+	// Step the time in milliseconds until a response starts whose prompt is cached; 0 means that
+	// they are not known.
+	ReadRate float64
+	Step     float64
 	// AllowUnconfirmed allows an endpoint that was unreachable and has not responded since.
 	AllowUnconfirmed bool
 }
@@ -108,8 +113,8 @@
 }
 
 const (
-	// prefillRate is the number of prompt tokens that the slowest model prefills
-	// per millisecond: 30 to 37 on the users' engines.
+	// prefillRate is the number of prompt tokens that the slowest model is assumed to
+	// prefill per millisecond: 30 to 37 on the users' first engines.
 	prefillRate = 35.0
 	// reprefillRate is the number of cached tokens that offset one more millisecond
 	// of delay: prefilling a shared part again has a cost whatever the model.
@@ -277,12 +282,6 @@
 	return clock.Millis(tokens / prefillRate)
 }
 
-// readRate returns the number of prompt tokens that the slowest model reads in a millisecond at an
-// endpoint.
-func (q *Query) readRate(*State) float64 {
-	return prefillRate
-}
-
 // Tokens returns the total number of tokens of the parts.
 func Tokens(parts []Part) int {
 	sum := 0
@@ -343,7 +342,7 @@
 	if s.Endpoint.Zone != q.Zone {
 		o.fixedCost += crossZoneCost + crossZoneCostPerKB*float64(q.CrossZoneBytes)/1024
 	}
-	o.fixedCost += failureCost * s.ExcessFailureRate
+	o.fixedCost += failureCost*s.ExcessFailureRate + q.slownessCost(s, o.utilization)
 	if s.LatencyRatio.Count > 2 && s.LatencyRatio.Mean > 1 {
 		o.fixedCost += latencyCost * (s.LatencyRatio.Mean - 1)
 	}
--- a/policy/placement/state.go
+++ b/policy/placement/state.go
@@ -71,6 +71,11 @@
 	// LatencyRatio is the moving average of the ratio of the endpoint's time to
 	// first byte to that of its peers.
 	LatencyRatio MovingAverage
+	// RelativeTime compares the time until responses of an engine start with that at its peers,
+	// for the same model and number of prompt tokens.
+	RelativeTime speed.Relative
+	// LoggedSlower is true while the log says that the endpoint is slower than its peers.
+	LoggedSlower bool
 
 	coldLimiter         share.TokenBucket
 	reportedLoad        Load
@@ -242,11 +247,6 @@
 	}
 }
 
-// Slowdown returns how many times as long as usual work is expected to take at the endpoint.
-func (s *State) Slowdown(now clock.Millis) speed.Factor {
-	return s.slowdown.At(now)
-}
-
 // SetPeerLoad records the requests in flight and the failures that all other instances
 // advertise for the endpoint.
 func (s *State) SetPeerLoad(inFlight, failures int, now clock.Millis) {
--- a/policy/speed/slowdown.go
+++ b/policy/speed/slowdown.go
@@ -26,11 +26,13 @@
 	s.reported, s.reportedAt = f, now
 }
 
-// At returns the factor to expect, which decays from the reported one to 1.
-func (s Slowdown) At(now clock.Millis) Factor {
-	if s.reported == 0 {
-		return 1
+// At returns the factor to expect of an endpoint whose usual factor is known. It decays from the
+// reported factor to the usual one. A report below the usual factor has no effect: it may or may
+// not include that the endpoint is always slower than others.
+func (s Slowdown) At(usual Factor, now clock.Millis) Factor {
+	if s.reported <= usual {
+		return usual
 	}
 	age := max(0, now-s.reportedAt)
-	return 1 + (s.reported-1)*Factor(math.Exp(-float64(age)/float64(slowdownDecay)))
+	return usual + (s.reported-usual)*Factor(math.Exp(-float64(age)/float64(slowdownDecay)))
 }
--- a/policy/speed/slowdown_test.go
+++ b/policy/speed/slowdown_test.go
@@ -12,23 +12,26 @@
 	rows := []struct {
 		name      string
 		reported  Factor
+		usual     Factor
 		age       clock.Millis
 		low, high Factor
 	}{
-		{"nothing reported", 0, 0, 1, 1},
-		{"just reported", 2.5, 0, 2.5, 2.5},
-		{"after half of a usual spell", 2.5, 300, 1.5, 2},
-		{"after a second", 2.5, 1000, 1, 1.15},
-		{"after a minute", 100, 60000, 1, 1.0001},
-		{"faster than usual", 0.5, 1000, 0.9, 1},
-		{"a clock that stands still", 2.5, -5, 2.5, 2.5},
+		{"nothing reported", 0, 1, 0, 1, 1},
+		{"just reported", 2.5, 1, 0, 2.5, 2.5},
+		{"after half of a usual spell", 2.5, 1, 300, 1.5, 2},
+		{"after a second", 2.5, 1, 1000, 1, 1.15},
+		{"after a minute", 100, 1, 60000, 1, 1.0001},
+		{"always slower, after a second", 2.5, 1.3, 1000, 1.3, 1.45},
+		{"always slower, and reports the usual time", 1, 1.3, 0, 1.3, 1.3},
+		{"always faster, nothing reported", 0, 0.8, 0, 0.8, 0.8},
+		{"a clock that stands still", 2.5, 1, -5, 2.5, 2.5},
 	}
 	for _, row := range rows {
 		var s Slowdown
 		if row.reported > 0 {
 			s.Report(row.reported, 100)
 		}
-		if got := s.At(100 + row.age); got < row.low || got > row.high {
+		if got := s.At(row.usual, 100+row.age); got < row.low || got > row.high {
 			t.Errorf("%s: factor %v, want %v to %v", row.name, got, row.low, row.high)
 		}
 	}
@@ -40,7 +43,7 @@
 	var s Slowdown
 	s.Report(2.5, 100)
 	s.Report(1, 150)
-	if got := s.At(150); got != 1 {
+	if got := s.At(1, 150); got != 1 {
 		t.Errorf("factor %v after a report of the usual speed", got)
 	}
 }
