--- a/entry/endpoints/pool.go
+++ b/entry/endpoints/pool.go
@@ -15,6 +15,7 @@
 	// prompts are the sizes of the prompts that this instance has sent.
 	prompts placement.PromptSizes
 	use     slotUse
+	speed   serviceSpeed
 }
 
 const (
