entry/forward: Callers refused for lack of capacity return spread over time

All callers that found no endpoint with room were told about the same time, so those of a surge came back together, the least urgent as early as the most urgent. Each is now told a time of its own from a schedule that each instance books at half of its part of the endpoints' rate, more urgent ranks first. No caller is told more than a third of the time that it has left, as it would not honor that.

Load pattern: retry storm.

Ruled out: a random time within a fixed span, which neither fits the length of the surge nor puts urgent callers first; a span from the last second's refusals, which forgets those that were told to return before.

The estimate from the queues that endpoints reported is gone, with its bound of 2 s.

--- a/entry/forward/admit.go
+++ b/entry/forward/admit.go
@@ -63,12 +63,7 @@
 func (f *fairness) decide(service ticket.ServiceName, r fairshare.Request, c fairshare.Capacity, instances int) fairshare.Decision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.services[service]
-	if s == nil {
-		s = &serviceFairness{Limiter: fairshare.NewLimiter(service)}
-		f.services[service] = s
-	}
-	now := f.clock.Mono()
+	s, now := f.service(service), f.clock.Mono()
 	d := s.Decide(r, c, instances, fairshare.Time{Now: now, Wall: f.clock.Wall()})
 	if !d.Short {
 		return d
@@ -86,6 +81,23 @@
 	return d
 }
 
+// returnTime returns when a refused request should be sent again.
+func (f *fairness) returnTime(service ticket.ServiceName, r fairshare.Request, c fairshare.Capacity, instances int, random float64) clock.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.service(service).RetryAfter(r, c, instances, fairshare.Time{Now: f.clock.Mono(), Wall: f.clock.Wall()}, random)
+}
+
+// service returns what is known of a service. The caller holds the lock.
+func (f *fairness) service(name ticket.ServiceName) *serviceFairness {
+	s := f.services[name]
+	if s == nil {
+		s = &serviceFairness{Limiter: fairshare.NewLimiter(name)}
+		f.services[name] = s
+	}
+	return s
+}
+
 // shortEndsAfter is the time without a lack of capacity after which it has ended. It bounds the
 // number of log lines of a service that is short at times.
 const shortEndsAfter = 2 * clock.Second
@@ -117,18 +129,34 @@
 // takeShare decides whether the request may take capacity of a service that is short of it. If it
 // returns false, the request ends with the returned Result.
 func (t *task) takeShare() (Result, bool) {
-	t.fair = t.fairness.decide(t.service.Name, fairshare.Request{
-		Group:    fairshare.Group{Workspace: t.workspace, Rank: t.rank},
-		Content:  t.content(),
-		TimeLeft: t.deadline - t.clock.Mono(),
-	}, t.endpoints.Capacity(t.view, t.service.Name, t.limits.Load().Zone, t.baseQueueLimit()), t.deps.Relay.InstanceCount())
+	t.fair = t.fairness.decide(t.service.Name, t.fairRequest(), t.capacity(), t.deps.Relay.InstanceCount())
 	if t.fair.Short {
 		t.deps.Scope.Tagged(map[string]string{"rank": strconv.Itoa(int(t.rank))}).Counter("short_of_capacity").Inc(1)
 	}
 	if t.fair.Admitted {
 		return Result{}, true
 	}
-	return localReply(http.StatusServiceUnavailable, ReasonOverShare, minRetryAfter), false
+	return localReply(http.StatusServiceUnavailable, ReasonOverShare, t.returnTime()), false
+}
+
+// fairRequest describes the request to the limiter.
+func (t *task) fairRequest() fairshare.Request {
+	return fairshare.Request{
+		Group:    fairshare.Group{Workspace: t.workspace, Rank: t.rank},
+		Content:  t.content(),
+		TimeLeft: t.deadline - t.clock.Mono(),
+	}
+}
+
+// capacity returns what the endpoints of the request's service can take.
+func (t *task) capacity() fairshare.Capacity {
+	return t.endpoints.Capacity(t.view, t.service.Name, t.limits.Load().Zone, t.baseQueueLimit())
+}
+
+// returnTime returns the Retry-After of a request that is refused for lack of capacity.
+func (t *task) returnTime() clock.Millis {
+	random := float64(t.request.hash()>>11) / (1 << 53)
+	return t.fairness.returnTime(t.service.Name, t.fairRequest(), t.capacity(), t.deps.Relay.InstanceCount(), random)
 }
 
 // content hashes what the request asks for. Requests that hold nothing to tell them apart differ by
--- a/entry/forward/admit_test.go
+++ b/entry/forward/admit_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/loadlist"
 	"foxtailbridge/policy/routing"
 )
@@ -117,3 +118,42 @@
 		}
 	})
 }
+
+// TestReturnTimes guards against callers that are all told the same time and return together, when
+// the service is short of capacity or its endpoints are full (retry storm).
+func TestReturnTimes(t *testing.T) {
+	rows := []struct {
+		name     string
+		inFlight int
+		demand   loadlist.Sum
+		reason   Reason
+	}{
+		{"over its share", 14, loadlist.Sum{"plain/2/w": 5000, "plain/2/v": 5000}, ReasonOverShare},
+		{"endpoints are full", 16, loadlist.Sum{"plain/2/w": 1}, ReasonEndpointsFull},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, _ := newFairHarness(t)
+				h.setPeers(row.inFlight, row.demand)
+				seen, refused := map[clock.Millis]bool{}, 0
+				for i := range 60 {
+					got := h.ask(100 + i)
+					if got.Reason != row.reason {
+						continue
+					}
+					// The route's callers have 800 ms and honor a third.
+					if got.RetryAfter < 150 || got.RetryAfter > 267 {
+						t.Fatalf("return after %d ms", got.RetryAfter)
+					}
+					seen[got.RetryAfter] = true
+					refused++
+				}
+				t.Logf("%d refused, %d times", refused, len(seen))
+				if refused < 30 || 2*len(seen) < refused {
+					t.Errorf("%d times for %d callers", len(seen), refused)
+				}
+			})
+		})
+	}
+}
--- a/entry/forward/refusal.go
+++ b/entry/forward/refusal.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/fairshare"
 	"foxtailbridge/policy/placement"
 	"foxtailbridge/policy/routing"
 )
@@ -31,36 +32,28 @@
 	case t.mayHaveRun:
 		return localReply(http.StatusBadGateway, ReasonOutcomeUnknown, 0)
 	case outOfTime:
-		return localReply(http.StatusServiceUnavailable, ReasonDeadlinePassed, minRetryAfter)
+		return localReply(http.StatusServiceUnavailable, ReasonDeadlinePassed, fairshare.MinReturn)
 	case choice.Reason == routing.ReasonFull:
 		return localReply(http.StatusServiceUnavailable, ReasonEndpointsFull, t.estimateRetryAfter(choice))
 	}
 	return localReply(http.StatusServiceUnavailable, ReasonNoEndpoint, t.estimateRetryAfter(choice))
 }
 
-const (
-	// minRetryAfter is the Retry-After if an endpoint may free a slot at any moment.
-	minRetryAfter = 150 * clock.Millis(1)
-	// maxRetryAfter bounds Retry-After: endpoints are back or replaced by then.
-	maxRetryAfter = 2 * clock.Second
-	// ShutdownRetryAfter is the Retry-After of a request that is refused because the instance
-	// shuts down. Others can serve it at once.
-	ShutdownRetryAfter = 50 * clock.Millis(1)
-)
+// ShutdownRetryAfter is the Retry-After of a request that is refused because the instance
+// shuts down. Others can serve it at once.
+const ShutdownRetryAfter = 50 * clock.Millis(1)
 
-// estimateRetryAfter estimates when an endpoint will have room.
+// estimateRetryAfter estimates when an endpoint will have room for a request that found none.
 func (t *task) estimateRetryAfter(choice placement.Choice) clock.Millis {
 	if choice.Slots == 0 && choice.HeldOffUntil > 0 {
 		// Callers come back within a third of the time that they have left, if at all.
 		now := t.clock.Mono()
-		return max(minRetryAfter, min(choice.HeldOffUntil-now, (t.deadline-now)/3))
+		return max(fairshare.MinReturn, min(choice.HeldOffUntil-now, (t.deadline-now)/3))
 	}
 	if choice.Slots == 0 {
 		return clock.Second
 	}
-	usualDelay := t.delays.Expected(t.route.Name, t.model)
-	queueRatio := float64(choice.Waiting+1) / float64(choice.Slots)
-	return min(maxRetryAfter, max(minRetryAfter, minRetryAfter+clock.Millis(queueRatio*float64(max(usualDelay, 100)))))
+	return t.returnTime()
 }
 
 // callerDisconnected returns the result of a request whose caller disconnected.
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -228,7 +228,7 @@
 			"after", t.lastEventID, "runs", t.runs)
 		return Result{}, false
 	case attempt.StepRefuse:
-		return localReply(http.StatusServiceUnavailable, ReasonEndpointsFull, minRetryAfter), true
+		return localReply(http.StatusServiceUnavailable, ReasonEndpointsFull, t.returnTime()), true
 	case attempt.StepAbort:
 		return t.abort(), true
 	}
--- a/policy/fairshare/fleet_test.go
+++ b/policy/fairshare/fleet_test.go
@@ -38,6 +38,9 @@
 	offered, admitted map[Group]int
 	// letIn counts the requests that the limiters admitted, total those that ran.
 	letIn, total int
+	// onRefusal is called for each request that doesn't run; it may be nil.
+	onRefusal func(r Request, instance int)
+	timeLeft  clock.Millis
 }
 
 // toldDemand is what all instances told at some time.
@@ -48,7 +51,7 @@
 }
 
 func newFleet(instances int) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(1, uint64(instances))), now: clock.Minute}
+	f := &fleet{random: rand.New(rand.NewPCG(1, uint64(instances))), now: clock.Minute, timeLeft: 10 * clock.Second}
 	for range instances {
 		f.limiters = append(f.limiters, NewLimiter("s"))
 	}
@@ -75,6 +78,9 @@
 	}
 	// As at the endpoints, more urgent requests may queue further.
 	if places := (1.3 + 0.12*float64(3-r.Rank)) * fleetSlots; !d.Admitted || float64(f.inFlight) >= places {
+		if f.onRefusal != nil {
+			f.onRefusal(r, instance)
+		}
 		return false
 	}
 	f.inFlight++
@@ -105,7 +111,7 @@
 		}
 		f.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 		for _, g := range list {
-			f.offer(Request{Group: g, Content: f.random.Uint64(), TimeLeft: 10 * clock.Second}, f.random.IntN(len(f.limiters)))
+			f.offer(Request{Group: g, Content: f.random.Uint64(), TimeLeft: f.timeLeft}, f.random.IntN(len(f.limiters)))
 		}
 		if each != nil {
 			each()
--- a/policy/fairshare/limiter.go
+++ b/policy/fairshare/limiter.go
@@ -28,6 +28,7 @@
 	// nearShortAt is when the service was last nearly short of capacity; valid if reports is true.
 	nearShortAt clock.Millis
 	reports     bool
+	returns     returns
 }
 
 // group is the demand of one group at this instance.
@@ -42,7 +43,7 @@
 
 // NewLimiter returns a Limiter that has seen no requests.
 func NewLimiter(service ticket.ServiceName) *Limiter {
-	return &Limiter{service: service, groups: map[Group]*group{}}
+	return &Limiter{service: service, groups: map[Group]*group{}, returns: returns{}}
 }
 
 const (
