entry/forward: Callers return after the load balancer has found another instance

Load pattern: a zone is cut off while its own endpoints are drained. Callers that such an instance refuses were told to return after 1 s. The load balancer takes an instance out after the check has failed twice, about 3 s after the first evidence, so callers came back to the same instance, and most of them return only once.

Refusals now say 3 s from the first evidence on, at most a third of the time left, up to which callers honor it. A Retry-After of 1 s for a request with 0.8 s left is capped the same way.

Evidence before: TestOutOfReachReturnTime: "/note/x: Retry-After 1000 ms, want about 3000"; "/safe/x: Retry-After 1000 ms, want about 266". Ruled out: refusing without Retry-After, as callers then return at once. go test ./entry/forward ./policy/fairshare: ok.

--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -108,7 +108,7 @@
 func (f *Forwarder) Serve(ctx context.Context, request *Request, writer ResponseWriter) Result {
 	t := &task{Forwarder: f, request: request, writer: writer, assignment: assignment{view: f.deps.Registry.View()}}
 	result := t.serve(ctx)
-	f.closeIfOutOfReach(&result)
+	t.redirectIfOutOfReach(&result)
 	t.record(&result)
 	return result
 }
--- a/entry/forward/reach.go
+++ b/entry/forward/reach.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/fairshare"
 	"foxtailbridge/policy/fault"
 	"foxtailbridge/policy/readiness"
 	"foxtailbridge/policy/ticket"
@@ -111,12 +113,26 @@
 	return &catalog.Service{Name: e.Service}
 }
 
-// closeIfOutOfReach makes a refusal close its connection while other instances can serve and this
-// one cannot: the caller's next connection goes to one that is ready.
-func (f *Forwarder) closeIfOutOfReach(result *Result) {
-	if !result.LocalReply || result.Status != http.StatusServiceUnavailable || f.CanServe() {
+// takeoverTime is how long it takes until the load balancer sends a caller's new connection to an
+// instance that can serve: the check fails after a second, and the load balancer asks once a second
+// and needs two failures.
+const takeoverTime = 3 * clock.Second
+
+// redirectIfOutOfReach makes a refusal close its connection while other instances can serve and
+// this one cannot, so that the caller's next connection goes to one that is ready. From the first
+// evidence on, callers are told to return once that is so: most of them return only once.
+func (t *task) redirectIfOutOfReach(result *Result) {
+	if !result.LocalReply || result.Status != http.StatusServiceUnavailable || t.service == nil {
+		return
+	}
+	serves, unservable := t.checkReach()
+	if slices.Contains(unservable, t.service.Name) {
+		left := max(0, t.deadline-t.clock.Mono())
+		result.RetryAfter = max(result.RetryAfter, min(takeoverTime, fairshare.LongestReturn(left)))
+	}
+	if serves {
 		return
 	}
 	result.CloseConnection = true
-	f.deps.Scope.Counter("out_of_reach_refusals").Inc(1)
+	t.deps.Scope.Counter("out_of_reach_refusals").Inc(1)
 }
--- a/entry/forward/reach_test.go
+++ b/entry/forward/reach_test.go
@@ -10,6 +10,7 @@
 
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/catalog"
+	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/routing"
 	"foxtailbridge/policy/ticket"
 )
@@ -142,3 +143,24 @@
 		}
 	})
 }
+
+// TestOutOfReachReturnTime guards against callers that are told to return before the load balancer
+// has noticed that this instance cannot serve: they are refused again, and most return only once.
+func TestOutOfReachReturnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness()
+		h.respond = func(int, *Attempt) (*Response, error) { return nil, failWith(KindNotSent) }
+		for range 4 {
+			h.serve(t.Context(), "/note/x", nil)
+		}
+		for _, row := range []struct {
+			path string
+			want clock.Millis
+		}{{"/note/x", takeoverTime}, {"/safe/x", 800 / 3}} {
+			c := h.serve(t.Context(), row.path, nil)
+			if c.Status != http.StatusServiceUnavailable || c.RetryAfter < row.want-100 || c.RetryAfter > row.want {
+				t.Errorf("%s: status %d, Retry-After %d ms, want about %d", row.path, c.Status, c.RetryAfter, row.want)
+			}
+		}
+	})
+}
--- a/entry/forward/refusal.go
+++ b/entry/forward/refusal.go
@@ -45,13 +45,12 @@
 
 // estimateRetryAfter estimates when an endpoint will have room for a request that found none.
 func (t *task) estimateRetryAfter(choice placement.Choice) clock.Millis {
+	now := t.clock.Mono()
 	if choice.Slots == 0 && choice.HeldOffUntil > 0 {
-		// Callers come back within a third of the time that they have left, if at all.
-		now := t.clock.Mono()
-		return max(fairshare.MinReturn, min(choice.HeldOffUntil-now, (t.deadline-now)/3))
+		return max(fairshare.MinReturn, min(choice.HeldOffUntil-now, fairshare.LongestReturn(t.deadline-now)))
 	}
 	if choice.Slots == 0 {
-		return clock.Second
+		return min(clock.Second, fairshare.LongestReturn(t.deadline-now))
 	}
 	return t.returnTime()
 }
--- a/policy/fairshare/returns.go
+++ b/policy/fairshare/returns.go
@@ -25,7 +25,7 @@
 // their parts of the rate, in proportion to their demand. If that is later than the caller would wait,
 // it returns a time within the later half of what it would, without booking it. random is 0 to 1.
 func (l *Limiter) RetryAfter(r Request, c Capacity, instances int, t Time, random float64) clock.Millis {
-	longest := max(MinReturn, clock.Millis(callerPatience*float64(r.TimeLeft)))
+	longest := LongestReturn(r.TimeLeft)
 	demand, capacity, _ := l.known(&c, instances, t.Now)
 	rate := returnShare * float64(capacity) * float64(l.ownDemand(t.Now).Sum()/max(1, demand.Sum()))
 	if rate <= 0 {
@@ -42,6 +42,11 @@
 	return min(longest, max(MinReturn, clock.Millis(wait)))
 }
 
+// LongestReturn returns the longest Retry-After that a caller honors with this much time left.
+func LongestReturn(left clock.Millis) clock.Millis {
+	return max(MinReturn, clock.Millis(callerPatience*float64(left)))
+}
+
 // book books the next time for a caller and returns the time until then, or false if that is too
 // long. Less urgent callers that return later make room: their next time is postponed.
 func (r returns) book(rank catalog.Rank, gap, now, longest float64) (wait float64, ok bool) {
