placement: Own zone first, spill-over by marginal delay, homes per zone

Load pattern: spill-over oscillation, herding on stale load data.

Instances tell each other how many requests those of each zone sent to a service in the last second (loadlist.KindZoneDemand). A request stays in its zone unless that is fuller than others by more than the crossing costs, once all zones' arrivals are placed; the excess crosses with the probability that this gives. Each zone has homes if an average part is requested twice a zone while it stays cached.

--- a/entry/endpoints/loads.go
+++ b/entry/endpoints/loads.go
@@ -22,6 +22,9 @@
 			loads.Failures[run.ID] += n
 		}
 	}
+	if sum := t.demand.sum(t.deps.Zone, now); len(sum) > 0 {
+		loads.Sums[loadlist.KindZoneDemand] = sum
+	}
 	return loads
 }
 
@@ -30,6 +33,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.deps.Clock.Mono()
+	t.demand.others, t.demand.receivedAt = loads.Sums[loadlist.KindZoneDemand], now
 	for run, s := range t.states.byRun {
 		s.SetPeerLoad(loads.InFlight[run.ID], loads.Failures[run.ID], now)
 	}
--- a/entry/endpoints/tracker.go
+++ b/entry/endpoints/tracker.go
@@ -17,6 +17,7 @@
 
 // Dependencies are the components that a Tracker uses.
 type Dependencies struct {
+	Zone   ticket.ZoneName
 	Clock  *clock.Clock
 	Random *rand.Rand
 	Logger hclog.Logger
@@ -39,12 +40,14 @@
 	leaving       leavingRuns
 	held          holdList
 	// parts counts the requests by shared part.
-	parts placement.PartRates
+	parts  placement.PartRates
+	demand zoneDemand
 }
 
 // New returns a Tracker that knows no endpoints.
 func New(deps Dependencies) *Tracker {
 	t := &Tracker{deps: deps, routeFailures: failureShares{}, zones: zoneTable{}, leaving: leavingRuns{}}
+	t.demand.own = map[ticket.ServiceName]*share.SlidingWindow{}
 	t.states = newStateTable(deps.Random, func() *pool {
 		return &pool{retries: newRetryBudget(deps.RetryLimits(), deps.Random.Float64())}
 	})
@@ -60,6 +63,9 @@
 	if choice.State != nil && !q.Acquire(choice.State) {
 		choice.State, choice.Endpoint, choice.Reason = nil, nil, routing.ReasonCold
 	}
+	if choice.State != nil {
+		t.demand.add(service.Name, q.Now)
+	}
 	return choice
 }
 
@@ -83,6 +89,8 @@
 	p := t.states.pool(service.Name)
 	if instances > 1 {
 		q.Arrivals = max(1, placement.StaleArrivals(p.states, p.times.mean(), instances, q.Now))
+		q.ZoneArrivals = t.demand.arrivals(service.Name, t.deps.Zone, q.Now)
+		q.ZoneHomes = t.parts.ZoneHomes(instances, len(q.ZoneArrivals))
 	}
 	return p
 }
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -74,7 +74,7 @@
 		clock:  deps.Clock,
 		logger: logger,
 		endpoints: endpoints.New(endpoints.Dependencies{
-			Clock: deps.Clock, Random: deps.Random, Logger: logger, Instances: deps.Relay.InstanceCount,
+			Zone: l.Zone, Clock: deps.Clock, Random: deps.Random, Logger: logger, Instances: deps.Relay.InstanceCount,
 			RetryLimits: func() endpoints.RetryLimits {
 				l := limits.Load()
 				return endpoints.RetryLimits{Ratio: l.RetryRatio, Slack: l.RetrySlack, Window: l.RetryWindow}
@@ -181,6 +181,9 @@
 	}
 	if t.lastEndpoint != nil {
 		args = append(args, "endpoint", t.lastEndpoint.ID, "release", t.lastEndpoint.Release, "model", t.model, "runs", t.runs, "sends", t.sends, "unsent", t.unsent, "arm", t.arm)
+		if zone := t.lastEndpoint.Zone; zone != t.limits.Load().Zone {
+			args = append(args, "other-zone", zone)
+		}
 	}
 	if t.firstByteAt > 0 {
 		args = append(args, "first-ms", int64(t.firstByteAt-t.request.ReceivedAt), "pause-ms", int64(t.longestEventGap))
--- a/entry/forward/place.go
+++ b/entry/forward/place.go
@@ -160,6 +160,7 @@
 			if choice.State != nil {
 				t.arm = c.arm
 				t.model = q.Model
+				t.countZone(choice)
 				return choice
 			}
 			if refusal.Considered == 0 {
--- a/policy/loadlist/loadlist.go
+++ b/policy/loadlist/loadlist.go
@@ -44,6 +44,9 @@
 	KindPrefill Kind = "prefill"
 	// KindDemand is the number of requests in the last second, by workspace and rank.
 	KindDemand Kind = "demand"
+	// KindZoneDemand is the number of requests sent to endpoints in the last second, by the zone of
+	// the instances and the service.
+	KindZoneDemand Kind = "zone-demand"
 )
 
 // PrefillUnit is the number of prompt tokens that KindPrefill counts as one: exact numbers would
--- a/policy/placement/part_rates.go
+++ b/policy/placement/part_rates.go
@@ -22,6 +22,8 @@
 type PartRates struct {
 	windows map[PartID]*share.SlidingWindow
 	sweptAt clock.Millis
+	// repeats is the mean number of earlier requests with the same part in partWindow.
+	repeats MovingAverage
 }
 
 // Homes counts a request and returns how many endpoints should share its last shared part. One
@@ -39,11 +41,14 @@
 	id := shared[len(shared)-1].ID
 	w := r.windows[id]
 	if w == nil {
+		r.addRepeat(0)
 		if len(r.windows) >= maxPartRates {
 			return 1
 		}
 		w = &share.SlidingWindow{}
 		r.windows[id] = w
+	} else {
+		r.addRepeat(float64(w.Sum(partWindow, now)))
 	}
 	// The request itself is left out: otherwise a part that is seen once would look hot.
 	earlier := float64(w.Sum(partWindow, now))
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -45,10 +45,18 @@
 	// Arrivals is the number of requests that other instances are expected to have sent to
 	// the service's endpoints since the loads were told, or 0 if the loads are exact.
 	Arrivals float64
+	// ZoneArrivals is the same by the zone of the instances; a zone that is missing is not known.
+	// If it is nil, a request prefers no zone over others beyond the cost of the crossing.
+	ZoneArrivals map[ticket.ZoneName]float64
+	// ZoneHomes is true if each zone has homes for prompt parts, for requests that prefer their zone.
+	ZoneHomes bool
 	// Homes is the number of endpoints that share the prompt's last shared part; 0 means one.
 	Homes int
 	// AllowUnconfirmed allows an endpoint that was unreachable and has not responded since.
 	AllowUnconfirmed bool
+
+	// scope is the zone in which the request chooses, or "" for all. Choose sets it.
+	scope ticket.ZoneName
 }
 
 // Choice is the outcome of a query.
@@ -191,7 +199,7 @@
 
 // chooseOption sets the choice to the option with the lowest estimated delay.
 func (q *Query) chooseOption(best *Choice, states []*State, options []option, random *rand.Rand) {
-	home := q.homeEndpoint(states, random)
+	var home *State
 	consider := func(o option, level float64) {
 		cost := max(o.cost(), level) + q.promptCost(o.state, o.state == home) + jitter*random.Float64()
 		if best.State == nil || cost < best.Cost {
@@ -199,22 +207,21 @@
 		}
 	}
 	if q.Arrivals <= 0 {
+		q.scope = ""
+		home = q.homeEndpoint(states, random)
 		for _, o := range options {
 			consider(o, 0)
 		}
 		return
 	}
-	level := costLevel(options, q.Arrivals)
-	rooms := make([]float64, len(options))
-	for i, o := range options {
-		rooms[i] = o.room(level)
-	}
+	drawable, rooms, level := q.spread(options, random)
+	home = q.homeEndpoint(states, random)
 	for range spreadDraws {
-		consider(drawByRoom(options, rooms, random), level)
+		consider(drawByRoom(drawable, rooms, random), level)
 	}
 	shared := sharedParts(q.Parts)
 	for _, o := range options {
-		if o.state == home || len(shared) > 0 && o.state.cachedTokens(shared, q.Model, q.Now) > 0 {
+		if q.worthReading(o.state, home, shared) {
 			consider(o, level)
 		}
 	}
@@ -313,9 +320,9 @@
 		weight uint64
 	}
 	// homes is sorted by descending weight.
-	homes := make([]weighted, 0, max(1, q.Homes))
+	homes := make([]weighted, 0, q.homeCount())
 	for _, s := range states {
-		if s.absent(q.Now) || s.Cold(q.Now) || !q.Accept(s.Endpoint) || q.ZoneUnreachable != nil && q.ZoneUnreachable(s.Endpoint.Zone) {
+		if s.absent(q.Now) || s.Cold(q.Now) || !q.mayBeHome(s) || !q.Accept(s.Endpoint) || q.ZoneUnreachable != nil && q.ZoneUnreachable(s.Endpoint.Zone) {
 			continue
 		}
 		w := routing.RendezvousWeight(key, string(s.Endpoint.ID))
@@ -340,9 +347,7 @@
 // newOption returns an endpoint with the costs that are the same for all requests.
 func (q *Query) newOption(s *State) option {
 	o := option{state: s, utilization: s.Utilization(q.Now)}
-	if s.Endpoint.Zone != q.Zone {
-		o.fixedCost += crossZoneCost + crossZoneCostPerKB*float64(q.CrossZoneBytes)/1024
-	}
+	o.fixedCost += q.crossingCost(s)
 	o.fixedCost += failureCost * s.ExcessFailureRate
 	if s.LatencyRatio.Count > 2 && s.LatencyRatio.Mean > 1 {
 		o.fixedCost += latencyCost * (s.LatencyRatio.Mean - 1)
--- a/policy/placement/spread_test.go
+++ b/policy/placement/spread_test.go
@@ -9,6 +9,7 @@
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/routing"
+	"foxtailbridge/policy/ticket"
 )
 
 // newOptions returns options with the given utilizations of 10 slots.
@@ -131,15 +132,25 @@
 }
 
 func BenchmarkChoose(b *testing.B) {
-	for _, count := range []int{60, 204, 600} {
-		b.Run(fmt.Sprintf("endpoints-%d", count), func(b *testing.B) {
+	type row struct {
+		name  string
+		count int
+		zones map[ticket.ZoneName]float64
+	}
+	rows := []row{{"by-zone-140", 140, map[ticket.ZoneName]float64{"a": 30, "b": 20}}}
+	for _, count := range []int{60, 140, 204, 600} {
+		rows = append(rows, row{fmt.Sprintf("endpoints-%d", count), count, nil})
+	}
+	for _, row := range rows {
+		count := row.count
+		b.Run(row.name, func(b *testing.B) {
 			random := rand.New(rand.NewPCG(1, 1))
 			list := newStates(count, 12)
 			for _, s := range list {
 				s.SetReportedLoad(Load{Running: random.IntN(12), Slots: 12}, 1000)
 			}
 			q := newQuery(1000, Part{"sys", 500}, Part{"own", 600})
-			q.Arrivals = float64(count) / 2
+			q.Arrivals, q.ZoneArrivals = float64(count)/2, row.zones
 			b.ReportAllocs()
 			for b.Loop() {
 				Choose(list, q, random)
