--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -21,8 +21,8 @@
 	Address string          `json:"address"`
 	// RunID identifies a run of the instance's process.
 	RunID string `json:"run"`
-	// Capacity is the member's CPU capacity in millicores. Duties go to the members with
-	// the most.
+	// Capacity is what the member's CPU and link allow, in millicores. Duties go to the members
+	// with the most.
 	Capacity int `json:"power,omitempty"`
 }
 
