--- a/entry/endpoints/loads.go
+++ b/entry/endpoints/loads.go
@@ -38,6 +38,9 @@
 	if len(backlog) > 0 {
 		loads.Sums[loadlist.KindPrefill] = backlog
 	}
+	if sum := t.demand.sum(t.deps.Zone, now); len(sum) > 0 {
+		loads.Sums[loadlist.KindZoneDemand] = sum
+	}
 	return loads
 }
 
@@ -47,6 +50,7 @@
 	defer t.mu.Unlock()
 	now := t.deps.Clock.Mono()
 	backlog := loads.Sums[loadlist.KindPrefill]
+	t.demand.others, t.demand.receivedAt = loads.Sums[loadlist.KindZoneDemand], now
 	for run, s := range t.states.byRun {
 		s.SetPeerBacklog(float64(backlog[loadlist.Key(run.ID)])*loadlist.PrefillUnit, now)
 		s.SetPeerLoad(loads.InFlight[run.ID], loads.Failures[run.ID], now)
--- a/policy/loadlist/loadlist.go
+++ b/policy/loadlist/loadlist.go
@@ -48,6 +48,9 @@
 	// KindAnswers is the number of answers of the last seconds by route, model, size class and band
 	// of confidence, in units of cascade.Answers.Report.
 	KindAnswers Kind = "answers"
+	// KindZoneDemand is the number of requests sent to endpoints in the last second, by the zone of
+	// the instances and the service.
+	KindZoneDemand Kind = "zone-demand"
 )
 
 // PrefillUnit is the number of prompt tokens that KindPrefill counts as one: exact numbers would
