policy/placement: Engines whose memory is taken get no further request

Load pattern: head-of-line blocking. Cause: kvCapacity, the tokens that an engine's running requests and cached prompt parts share, was read from the configuration and used nowhere, so long prompts with the same home were sent to one engine until its slots were full, whatever its memory.

An endpoint is left out while its memory has no room for the request and another one may get it: own requests count with their tokens, those of others with the mean of the instance's own. If all are short, or the capacity is not known, the choice is as before.

Ruled out: refusing requests if all are short, as the counts of others are estimates; the unread prompt tokens of others, which are gone when the prompt still takes memory.

--- a/entry/endpoints/pool.go
+++ b/entry/endpoints/pool.go
@@ -40,6 +40,8 @@
 	// all is the mean time of a run in milliseconds. packable is the same with the time of
 	// runs that may not be packed taken as 0.
 	all, packable placement.MovingAverage
+	// tokens is the mean product of a run's time and its number of tokens.
+	tokens placement.MovingAverage
 }
 
 const (
@@ -52,8 +54,9 @@
 )
 
 // add counts the time of a run that has ended.
-func (r *runTimes) add(took clock.Millis, packable bool) {
+func (r *runTimes) add(took clock.Millis, packable bool, tokens int) {
 	updateAverage(&r.all, float64(took), runTimeWindow)
+	updateAverage(&r.tokens, float64(took)*float64(tokens), runTimeWindow)
 	if !packable {
 		took = 0
 	}
@@ -68,6 +71,15 @@
 	return clock.Millis(r.all.Mean)
 }
 
+// meanTokens returns the mean number of tokens of the requests in flight, or 0: long requests are
+// in flight for longer.
+func (r *runTimes) meanTokens() float64 {
+	if r.all.Mean <= 0 {
+		return 0
+	}
+	return r.tokens.Mean / r.all.Mean
+}
+
 // packableShare returns the share of the in-flight requests that may be packed.
 func (r *runTimes) packableShare() float64 {
 	if r.all.Mean <= 0 {
--- a/entry/endpoints/tracker.go
+++ b/entry/endpoints/tracker.go
@@ -38,6 +38,8 @@
 	zones         zoneTable
 	leaving       leavingRuns
 	held          holdList
+	// memoryLoggedAt is when a lack of memory was last logged, or 0.
+	memoryLoggedAt clock.Millis
 	// parts counts the requests by shared part.
 	parts placement.PartRates
 }
@@ -57,6 +59,7 @@
 	defer t.mu.Unlock()
 	p := t.prepareQuery(view, service, q)
 	choice := placement.Choose(p.states, q, t.deps.Random)
+	t.logMemory(service.Name, q, &choice)
 	if choice.State != nil && !q.Acquire(choice.State) {
 		choice.State, choice.Endpoint, choice.Reason = nil, nil, routing.ReasonCold
 	}
@@ -83,6 +86,9 @@
 	q.ColdRate = share.FleetShare * service.ColdRate / float64(instances)
 	q.ZoneUnreachable = func(zone ticket.ZoneName) bool { return zone != q.Zone && t.zones.inBackoff(zone, q.Now) }
 	p := t.states.pool(service.Name)
+	if service.Engine != nil {
+		q.Memory.Capacity, q.Memory.OthersMean = service.Engine.KVCapacity, p.times.meanTokens()
+	}
 	q.ReadRate, q.Step = p.speed.readings.Rate(), p.speed.readings.Of(q.Model).Step()
 	if instances > 1 {
 		q.Arrivals = max(1, placement.StaleArrivals(p.states, p.times.mean(), instances, q.Now))
@@ -122,7 +128,9 @@
 	// PrefillTokens is the weighted number of prompt tokens that the endpoint had yet to
 	// read.
 	PrefillTokens float64
-	Packable      bool
+	// Tokens is the number of tokens of the request, as in the query by which it was placed.
+	Tokens   int
+	Packable bool
 }
 
 // AttemptEnded removes an attempt from its endpoint's in-flight requests.
@@ -131,7 +139,8 @@
 	defer t.mu.Unlock()
 	r.State.OwnInFlight--
 	r.State.PrefillTokens -= r.PrefillTokens
-	t.states.pool(r.Service).times.add(t.deps.Clock.Mono()-r.SentAt, r.Packable)
+	r.State.OwnTokens -= r.Tokens
+	t.states.pool(r.Service).times.add(t.deps.Clock.Mono()-r.SentAt, r.Packable, r.Tokens)
 }
 
 // PackableShare returns the share of a service's in-flight requests that may be packed.
--- a/entry/forward/place.go
+++ b/entry/forward/place.go
@@ -111,6 +111,7 @@
 		Accept:           accept,
 		Tried:            t.tried,
 		Homes:            t.homes,
+		Memory:           placement.Memory{Tokens: t.request.tokens()},
 		MaxUtilization:   queueLimit,
 		AllowUnconfirmed: t.retryable() && t.sends == 0,
 	}, next
@@ -157,6 +158,9 @@
 				keptAway = true
 				t.deps.Scope.Counter("kept_away").Inc(1)
 			}
+			if choice.ShortOfMemory > 0 {
+				t.deps.Scope.Counter("memory_short").Inc(1)
+			}
 			if choice.State != nil {
 				t.arm = c.arm
 				t.model = q.Model
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -58,6 +58,15 @@
 	ReleaseResponse func(bytes int)
 }
 
+// maxOutputTokens bounds the output that is taken into account: callers may name any number.
+const maxOutputTokens = 1 << 20
+
+// tokens returns the number of tokens that the request takes of an engine's memory: its prompt and
+// the longest output.
+func (r *Request) tokens() int {
+	return placement.Tokens(r.PromptParts) + min(maxOutputTokens, max(0, r.MaxTokens))
+}
+
 func (r *Request) hash() uint64 {
 	return xxhash.Sum64String(string(r.ID))
 }
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -135,6 +135,7 @@
 	r.ended = true
 	r.task.endpoints.AttemptEnded(endpoints.EndedAttempt{
 		State: r.state, Service: r.task.service.Name, SentAt: r.sentAt, PrefillTokens: r.prefillTokens, Packable: r.packable,
+		Tokens: r.task.request.tokens(),
 	})
 	r.prefillTokens = 0
 }
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -52,6 +52,8 @@
 	// they are not known.
 	ReadRate float64
 	Step     float64
+	// Memory says what is known of the endpoints' memory.
+	Memory Memory
 	// AllowUnconfirmed allows an endpoint that was unreachable and has not responded since.
 	AllowUnconfirmed bool
 }
@@ -79,6 +81,9 @@
 	// first of them wants some again, or 0.
 	KeptAway     int
 	HeldOffUntil clock.Millis
+	// ShortOfMemory counts endpoints that could get the request but for their memory. They get it
+	// only if that is all of them.
+	ShortOfMemory int
 	// Rejections counts endpoints by rejection reason; it is set only if State is nil.
 	Rejections Rejections
 }
@@ -185,7 +190,8 @@
 		best.Rejections = q.countRejections(states)
 		return best
 	}
-	if packed, filled := q.packedEndpoint(states, random); packed != nil {
+	options, best.ShortOfMemory = q.withMemory(options)
+	if packed, filled := q.packedEndpoint(states, random); packed != nil && contains(options, packed) {
 		best.State, best.Reason, best.PackedEndpoints = packed, ReasonPacked, filled
 	} else {
 		q.chooseOption(&best, states, options, random)
@@ -274,6 +280,7 @@
 	}
 	s.OwnInFlight++
 	s.PrefillTokens += q.RelativeCost * float64(Tokens(q.Parts))
+	q.Memory.acquire(s)
 	return true
 }
 
--- a/policy/placement/state.go
+++ b/policy/placement/state.go
@@ -57,6 +57,8 @@
 	// PrefillTokens is the number of prompt tokens of requests at the endpoint whose
 	// response has not started, weighted by the relative cost of their models.
 	PrefillTokens float64
+	// OwnTokens is the number of tokens of this instance's requests in flight at the endpoint.
+	OwnTokens int
 	// ColdUntil is when the endpoint's cold start ends.
 	ColdUntil clock.Millis
 	// FirstSeen is when this instance first saw the endpoint.
