--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -137,6 +137,7 @@
 	rejected := r.response != nil && r.response.NotRun
 	slotTime := r.task.endpoints.AttemptEnded(endpoints.EndedAttempt{
 		State: r.state, Service: r.task.service.Name, SentAt: r.sentAt, PrefillTokens: r.prefillTokens, Packable: r.packable, Rejected: rejected,
+		Tokens: r.task.request.tokens(),
 	})
 	if r.response != nil && !rejected { // Without a response it is not known what the attempt occupied.
 		r.task.slotTime += slotTime
