policy/speed: Endpoints that are alike count as alike, and slow ones are tried again

Load pattern: slow endpoint. An endpoint counted as different beyond one standard error, which is 3 in 10 of endpoints that are alike. And what was learned stayed until new samples came; at low load an endpoint that had been slow got no requests and so no samples.

--- a/entry/endpoints/speeds.go
+++ b/entry/endpoints/speeds.go
@@ -63,8 +63,8 @@
 	}
 	ratio, settled := p.speed.readings.Add(r.Model, r.RelativeCost*float64(tokens), r.Delay)
 	if settled {
-		r.State.RelativeTime.Add(ratio)
-		t.logEndpointSpeed(r.State)
+		r.State.RelativeTime.Add(ratio, now)
+		t.logEndpointSpeed(r.State, now)
 	}
 	rate = p.speed.readings.Rate()
 	if math.Abs(math.Log(rate/p.speed.loggedRate)) >= math.Log(rateLogStep) && (p.speed.loggedAt == 0 || now-p.speed.loggedAt >= rateLogPeriod) {
@@ -77,8 +77,8 @@
 }
 
 // logEndpointSpeed logs when an endpoint has become slower than its peers, and when it is no more.
-func (t *Tracker) logEndpointSpeed(s *placement.State) {
-	factor := s.RelativeTime.Factor()
+func (t *Tracker) logEndpointSpeed(s *placement.State, now clock.Millis) {
+	factor := s.RelativeTime.Factor(now)
 	slower := factor > slowerFactor || s.LoggedSlower && factor >= usualFactor
 	if slower != s.LoggedSlower {
 		s.LoggedSlower = slower
--- a/loadtest/experiment/fleet_speed.go
+++ b/loadtest/experiment/fleet_speed.go
@@ -82,7 +82,7 @@
 		return usual
 	}
 	if load := f.loadOf(e); !f.load.HideSpeed && load.ShowsSpeed() {
-		r.state.RelativeTime.Add(float64(e.speed.always) * math.Exp(fleetSampleNoise*f.random.NormFloat64()))
+		r.state.RelativeTime.Add(float64(e.speed.always)*math.Exp(fleetSampleNoise*f.random.NormFloat64()), f.now)
 	}
 	took, factor := float64(usual), float64(e.speed.always)
 	if e.speed.spell {
--- a/policy/placement/speed.go
+++ b/policy/placement/speed.go
@@ -38,7 +38,7 @@
 
 // slowness returns how many times as long as usual work takes at an endpoint.
 func (q *Query) slowness(s *State) float64 {
-	return min(maxSlowness, max(minSlowness, float64(s.slowdown.At(s.RelativeTime.Factor(), q.Now))))
+	return min(maxSlowness, max(minSlowness, float64(s.slowdown.At(s.RelativeTime.Factor(q.Now), q.Now))))
 }
 
 // slownessCost returns the delay in milliseconds by which an endpoint of this utilization exceeds
--- a/policy/placement/speed_test.go
+++ b/policy/placement/speed_test.go
@@ -57,7 +57,7 @@
 			list[0].SetReportedLoad(Load{Running: row.running, Slots: 16, Slowdown: speed.Factor(row.reported)}, 1000)
 			random := rand.New(rand.NewPCG(3, 4))
 			for range 40 {
-				list[0].RelativeTime.Add(row.relative * math.Exp(0.05*random.NormFloat64()))
+				list[0].RelativeTime.Add(row.relative*math.Exp(0.05*random.NormFloat64()), 1000)
 			}
 			arrivals := StaleArrivals(list, 1200, instances, 1000)
 			if share := relativeShare(list, 1000+row.age, arrivals); share < row.low || share > row.high {
@@ -146,7 +146,7 @@
 			for _, s := range list {
 				s.SetReportedLoad(Load{Running: random.IntN(12), Slots: 16, Slowdown: 1 + speed.Factor(random.Float64())}, 1000)
 				for range 10 {
-					s.RelativeTime.Add(1.3)
+					s.RelativeTime.Add(1.3, 1000)
 				}
 			}
 			q := newQuery(1000, Part{"sys", 500}, Part{"own", 600})
--- a/policy/speed/speed_test.go
+++ b/policy/speed/speed_test.go
@@ -109,9 +109,9 @@
 		for range 30 {
 			var r Relative
 			for range row.samples {
-				r.Add(row.truth * math.Exp(row.noise*random.NormFloat64()))
+				r.Add(row.truth*math.Exp(row.noise*random.NormFloat64()), 1000)
 			}
-			sum += math.Log(float64(r.Factor()))
+			sum += math.Log(float64(r.Factor(1000)))
 			count++
 		}
 		if f := math.Exp(sum / count); f < row.low-1e-9 || f > row.high+1e-9 {
@@ -119,3 +119,46 @@
 		}
 	}
 }
+
+// Guards against choices between endpoints that are alike by the noise in their samples, which
+// each instance would see elsewhere (load pattern: slow endpoint).
+func TestAlikeEndpointsCountAsAlike(t *testing.T) {
+	random := rand.New(rand.NewPCG(9, 10))
+	for _, samples := range []int{1, 3, 10, 100} {
+		different := 0
+		const endpoints = 2000
+		for range endpoints {
+			var r Relative
+			for range samples {
+				r.Add(math.Exp(0.25*random.NormFloat64()), 1000)
+			}
+			if r.Factor(1000) != 1 {
+				different++
+			}
+		}
+		if different > endpoints/12 {
+			t.Errorf("%d samples: %d of %d alike endpoints count as different", samples, different, endpoints)
+		}
+	}
+}
+
+// Guards against an endpoint that is avoided for ever, as it gets no requests that would show
+// that it is no longer slow (load pattern: slow endpoint).
+func TestRelativeIsForgotten(t *testing.T) {
+	var r Relative
+	for i := range 40 {
+		r.Add(1.8, clock.Millis(100*i))
+	}
+	if f := r.Factor(4 * clock.Second); f < 1.4 {
+		t.Errorf("factor %.2f after 40 slow responses", f)
+	}
+	if f := r.Factor(4*clock.Second + 3*clock.Minute); f != 1 {
+		t.Errorf("factor %.2f three minutes later", f)
+	}
+	for i := range 40 {
+		r.Add(1, 4*clock.Second+clock.Millis(100*i))
+	}
+	if f := r.Factor(8 * clock.Second); f > 1.15 {
+		t.Errorf("factor %.2f after 40 usual responses", f)
+	}
+}
