entry/endpoints: Endpoints in cold start count for what they accept

The rate that a limited service is divided by left out endpoints in cold start, so that with a part of them back from a restart more requests would be refused than necessary, though these endpoints accept some (a rate that the service states). Their rate is now added, at most what their slots serve. Whether a service is short of capacity is still judged by the warm ones. Found by reading; load pattern: a zone's endpoints restart cold under load.

TestColdEndpoints: shares of 13.5 and 10.5 instead of 7.5 requests a second each. Go test ./policy/fairshare ./entry/endpoints ./entry/forward: ok.

--- a/entry/endpoints/capacity.go
+++ b/entry/endpoints/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"foxtailbridge/entry/registry"
+	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/fairshare"
 	"foxtailbridge/policy/placement"
@@ -49,22 +50,27 @@
 	updateAverage(&t.states.pool(service).use.slotTime, float64(took), runTimeWindow)
 }
 
-// Capacity returns what the endpoints of a service can take that are reachable from a zone and past
-// their cold start. The limit is the utilization up to which requests queue at an endpoint.
-func (t *Tracker) Capacity(view *registry.State, service ticket.ServiceName, zone ticket.ZoneName, limit float64) fairshare.Capacity {
+// Capacity returns what the endpoints of a service can take that are reachable from a zone. The
+// limit is the utilization up to which requests queue at an endpoint.
+func (t *Tracker) Capacity(view *registry.State, service *catalog.Service, zone ticket.ZoneName, limit float64) fairshare.Capacity {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.deps.Clock.Mono()
 	if t.states.sync(view, now, t.leaving) {
 		t.leaving.prune(now, t.states.byRun)
 	}
-	p := t.states.pool(service)
+	p := t.states.pool(service.Name)
 	c := fairshare.Capacity{Refusing: p.use.refusing(now)}
 	if p.use.slotTime.Count >= minSlotTimes {
 		c.SlotTime = max(1, clock.Millis(p.use.slotTime.Mean))
 	}
 	for _, s := range p.states {
-		if t.takesRequests(view, s, zone, now) {
+		switch {
+		case !t.takesRequests(view, s, zone, now):
+		case s.Cold(now):
+			c.ColdSlots += s.Endpoint.Slots
+			c.ColdRate += fairshare.Rate(share.FleetShare * service.ColdRate)
+		default:
 			places := limit * float64(s.Endpoint.Slots)
 			c.Slots += s.Endpoint.Slots
 			c.Places += places
@@ -74,11 +80,10 @@
 	return c
 }
 
-// takesRequests reports whether an endpoint takes requests at its usual rate; the caller holds the
-// lock.
+// takesRequests reports whether an endpoint takes requests; the caller holds the lock.
 func (t *Tracker) takesRequests(view *registry.State, s *placement.State, zone ticket.ZoneName, now clock.Millis) bool {
 	e := s.Endpoint
-	return view.Usable(e) && s.WantsRequests(now) && !s.InBackoff(now) && !s.Cold(now) && (e.Zone == zone || !t.zones.inBackoff(e.Zone, now))
+	return view.Usable(e) && s.WantsRequests(now) && !s.InBackoff(now) && (e.Zone == zone || !t.zones.inBackoff(e.Zone, now))
 }
 
 // slotTimeOf returns for how long an attempt occupied a slot: the part of its time in which it did
--- a/entry/forward/admit.go
+++ b/entry/forward/admit.go
@@ -158,7 +158,7 @@
 
 // capacity returns what the endpoints of the request's service can take.
 func (t *task) capacity() fairshare.Capacity {
-	return t.endpoints.Capacity(t.deps.Registry.View(), t.service.Name, t.limits.Load().Zone, t.baseQueueLimit())
+	return t.endpoints.Capacity(t.deps.Registry.View(), t.service, t.limits.Load().Zone, t.baseQueueLimit())
 }
 
 // returnTime returns the Retry-After of a request that is refused for lack of capacity.
--- a/policy/fairshare/capacity.go
+++ b/policy/fairshare/capacity.go
@@ -5,6 +5,10 @@
 // Capacity is what a service's reachable endpoints can take.
 type Capacity struct {
 	Slots int
+	// ColdSlots is the number of slots of endpoints in cold start, which are not in Slots and Places,
+	// and ColdRate the number of requests per second that these endpoints accept together.
+	ColdSlots int
+	ColdRate  Rate
 	// Places is the number of slots and queue places, and Room the number of those that are free.
 	Places, Room float64
 	// SlotTime is how long a request occupies slots, over all its attempts, or 0 if that is not
@@ -59,5 +63,6 @@
 	if c.SlotTime <= 0 {
 		return 0
 	}
-	return Rate(c.Slots) * Rate(clock.Second) / Rate(c.SlotTime)
+	perSlot := Rate(clock.Second) / Rate(c.SlotTime)
+	return Rate(c.Slots)*perSlot + min(c.ColdRate, Rate(c.ColdSlots)*perSlot)
 }
--- a/policy/fairshare/limiter_test.go
+++ b/policy/fairshare/limiter_test.go
@@ -47,6 +47,30 @@
 	}
 }
 
+// TestColdEndpoints guards against a limit that ignores what endpoints in cold start accept, when a
+// zone's endpoints have come back and carry part of the load.
+func TestColdEndpoints(t *testing.T) {
+	rows := []struct {
+		name      string
+		coldSlots int
+		coldRate  Rate
+		share     Rate
+	}{
+		{"none", 0, 0, 7.5},
+		{"limited by their rate", 40, 8, 13.5},
+		{"limited by their slots", 4, 8, 10.5},
+	}
+	for _, row := range rows {
+		capacity := shortCapacity
+		capacity.ColdSlots, capacity.ColdRate = row.coldSlots, row.coldRate
+		l := NewLimiter("s")
+		l.SetPeers(loadlist.Sum{"s/1/w1": 100}, 1000)
+		if d := l.Decide(Request{Group: workspace(1, 1)}, capacity, 10, Time{1000, 1000}); d.Share < row.share-0.1 || d.Share > row.share+0.1 {
+			t.Errorf("%s: share %.2f, want %.2f", row.name, d.Share, row.share)
+		}
+	}
+}
+
 // TestMissingDemand guards against shares that are computed from the demand of other instances
 // after their reader has ended, or from none at all, as the own demand seems to fit then.
 func TestMissingDemand(t *testing.T) {
