entry/forward: Test that demand reaches other instances and expires without a link

Two instances and their relays: the demand of one (100 requests a second) is known at the other, at most 1 s old, and no longer 1.6 s after the relays have stopped.

--- a/entry/forward/admit_test.go
+++ b/entry/forward/admit_test.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/fairshare"
 	"foxtailbridge/policy/loadlist"
 	"foxtailbridge/policy/routing"
 )
@@ -157,3 +158,42 @@
 		})
 	}
 }
+
+// TestDemandOfOtherInstances guards against shares that leave out what others are asked for, and
+// against such that rest on it after the link to the others has broken.
+func TestDemandOfOtherInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := network{}
+		a, b := newNetworkHarness("a", n), newNetworkHarness("b", n)
+		respond := func(int, *Attempt) (*Response, error) {
+			time.Sleep(350 * time.Millisecond)
+			return plainResponse(http.StatusOK), nil
+		}
+		a.respond, b.respond = respond, respond
+		ctx, cut := context.WithCancel(t.Context())
+		defer cut()
+		for _, h := range []*harness{a, b} {
+			go h.relay.Run(ctx)
+		}
+		time.Sleep(3 * time.Second)
+		for i := range 300 { // 100 requests a second at one instance, 10 at the other. Slow responses keep the endpoints busy.
+			go a.ask(1000 + i)
+			if i%10 == 0 {
+				go b.ask(2000 + i)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		group := fairshare.Request{Group: fairshare.Group{Workspace: "w", Rank: 2}, TimeLeft: 800}
+		short := fairshare.Capacity{Slots: 24, Places: 60, SlotTime: 100, Room: 1}
+		got := b.fairness.decide("plain", group, short, 2)
+		t.Logf("demand %.0f, %d ms old", got.Demand, got.Age)
+		if got.Age < 0 || got.Age > 1000 || got.Demand < 90 || got.Demand > 130 {
+			t.Errorf("demand %.0f, %d ms old", got.Demand, got.Age)
+		}
+		cut()
+		time.Sleep(1600 * time.Millisecond)
+		if got := b.fairness.decide("plain", group, short, 2); got.Age != -1 || got.Demand > 20 {
+			t.Errorf("demand %.0f, %d ms old without a link", got.Demand, got.Age)
+		}
+	})
+}
