--- a/policy/fairshare/allocate.go
+++ b/policy/fairshare/allocate.go
@@ -1,7 +1,6 @@
 package fairshare
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -39,36 +38,39 @@
 	levelSteps = 16
 )
 
+// Levels holds the rate up to which the groups of each rank are served.
+type Levels map[catalog.Rank]Rate
+
+// Share returns what a group of the rank gets of its demand.
+func (l Levels) Share(rank catalog.Rank, demand Rate) Rate {
+	return min(demand, l[rank])
+}
+
 // Allocate divides the capacity among the groups' demand by rank, and within a rank evenly until
 // a group's demand is met. No group gets less than a quarter of a more urgent one, unless it asks
 // for less. A group that gets less than its demand gets no less than any other of its rank.
-func Allocate(demand Rates, capacity Rate) Rates {
-	groups := slices.SortedFunc(maps.Keys(demand), func(a, b Group) int {
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(demand[a], demand[b]))
-	})
-	list := make([]Rate, len(groups))
-	for i, g := range groups {
-		list[i] = demand[g]
+func Allocate(demand Rates, capacity Rate) Levels {
+	byRank := map[catalog.Rank][]Rate{}
+	for group, rate := range demand {
+		byRank[group.Rank] = append(byRank[group.Rank], rate)
 	}
-	shares := make(Rates, len(groups))
+	levels := Levels{}
 	left, floor := max(0, capacity), Rate(0)
-	for first := 0; first < len(groups); {
-		end := first
-		for end < len(groups) && groups[end].Rank == groups[first].Rank {
-			end++
-		}
+	ranks := slices.Sorted(maps.Keys(byRank))
+	for i, rank := range ranks {
 		fits := func(level Rate) bool {
-			return fill(list[first:end], max(floor, level))+fill(list[end:], max(floor, level/floorDivisor)) <= left
-		}
-		level := max(floor, highestLevel(list[end-1], fits))
-		for i := first; i < end; i++ {
-			shares[groups[i]] = min(list[i], level)
-			left -= shares[groups[i]]
+			sum := fill(byRank[rank], max(floor, level))
+			for _, lower := range ranks[i+1:] {
+				sum += fill(byRank[lower], max(floor, level/floorDivisor))
+			}
+			return sum <= left
 		}
+		level := max(floor, highestLevel(slices.Max(byRank[rank]), fits))
+		levels[rank] = level
+		left -= fill(byRank[rank], level)
 		floor = max(floor, level/floorDivisor)
-		first = end
 	}
-	return shares
+	return levels
 }
 
 // fill returns the rate that demands get together if each is met up to the level.
--- a/policy/fairshare/allocate_test.go
+++ b/policy/fairshare/allocate_test.go
@@ -16,7 +16,10 @@
 			demand[workspace(i, rapid.IntRange(0, 3).Draw(t, "rank"))] = Rate(rapid.IntRange(1, 200).Draw(t, "demand"))
 		}
 		capacity := Rate(rapid.IntRange(0, 2000).Draw(t, "capacity"))
-		shares := Allocate(demand, capacity)
+		levels, shares := Allocate(demand, capacity), Rates{}
+		for g, rate := range demand {
+			shares[g] = levels.Share(g.Rank, rate)
+		}
 		const slack = 0.1
 		sum := shares.Sum()
 		if sum > capacity+slack || sum < min(capacity, demand.Sum())*0.99-slack {
--- a/policy/fairshare/limiter.go
+++ b/policy/fairshare/limiter.go
@@ -152,7 +152,7 @@
 	demand, capacity, age := l.known(&c, instances, t.Now)
 	d := Decision{Short: true, Demand: demand[r.Group], Share: demand[r.Group], Age: age}
 	if capacity > 0 {
-		d.Share = Allocate(demand, capacity)[r.Group]
+		d.Share = Allocate(demand, capacity).Share(r.Rank, d.Demand)
 	}
 	d.Admitted = own.admit(&r, float64(d.Share/d.Demand), t.Wall)
 	return d
--- a/policy/fairshare/queue.go
+++ b/policy/fairshare/queue.go
@@ -92,8 +92,9 @@
 func (l *Limiter) expectedWait(r *Request, c *Capacity, instances int, now clock.Millis, admitted bool) float64 {
 	if !admitted && c.Short() {
 		demand, capacity, _ := l.known(c, instances, now)
-		share := float64(Allocate(demand, capacity)[r.Group] / max(1, demand[r.Group]))
-		return float64(drawPeriod) / max(share, 0.01)
+		group := max(1, demand[r.Group])
+		share := Allocate(demand, capacity).Share(r.Rank, group)
+		return float64(drawPeriod) / max(0.01, float64(share/group))
 	}
 	ahead := 1
 	for _, w := range l.queue.waiting {
