placement: Decide on homes by zone from the repeats that all instances see

Load pattern: herding of a prompt part's readers. An instance counted by itself how often parts come back. At 500 requests a second over 140 instances it sees one request with a given part in minutes: with 200 parts its mean after 10 s rests on some 35 requests, so that homes flipped between instances, and long documents that are asked for a few times were judged by the short instructions that come with each request.

Each instance tells the requests with shared parts and the repeats among them, for short and long parts (loadlist.KindRepeats, four numbers at most), and decides by the sum; under 100 requests it takes one home for all zones. TestZoneHomes: homes by zone for 200 parts with 18 and 140 instances, one home for 5,000; TestHomesByZoneAreAgreed: an instance without requests of its own decides as the others do.

Ruled out: counting by part in the relay (some thousand keys); the mean of the counts, which needs numbers larger than one a request.

go test ./policy/placement ./policy/loadlist ./entry/endpoints ./entry/forward ./entry/relay ./platform passes; entry/endpoints and entry/forward with -race too.

--- a/entry/endpoints/loads.go
+++ b/entry/endpoints/loads.go
@@ -22,9 +22,7 @@
 			loads.Failures[run.ID] += n
 		}
 	}
-	if sum := t.demand.sum(t.deps.Zone, now); len(sum) > 0 {
-		loads.Sums[loadlist.KindZoneDemand] = sum
-	}
+	t.tellZones(loads, now)
 	return loads
 }
 
@@ -33,7 +31,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.deps.Clock.Mono()
-	t.demand.others, t.demand.receivedAt = loads.Sums[loadlist.KindZoneDemand], now
+	t.demand.receive(loads, now)
 	for run, s := range t.states.byRun {
 		s.SetPeerLoad(loads.InFlight[run.ID], loads.Failures[run.ID], now)
 	}
--- a/entry/endpoints/tracker.go
+++ b/entry/endpoints/tracker.go
@@ -89,8 +89,7 @@
 	p := t.states.pool(service.Name)
 	if instances > 1 {
 		q.Arrivals = max(1, placement.StaleArrivals(p.states, p.times.mean(), instances, q.Now))
-		q.ZoneArrivals = t.demand.arrivals(service.Name, t.deps.Zone, q.Now)
-		q.ZoneHomes = t.parts.ZoneHomes(instances, len(q.ZoneArrivals))
+		t.setZones(q, service.Name, instances)
 	}
 	return p
 }
--- a/entry/endpoints/zones.go
+++ b/entry/endpoints/zones.go
@@ -21,7 +21,9 @@
 type zoneDemand struct {
 	own map[ticket.ServiceName]*share.SlidingWindow
 	// others holds the counts of all other instances, by demandKey, as of receivedAt.
-	others     loadlist.Sum
+	others loadlist.Sum
+	// repeats holds what others told of loadlist.KindRepeats, also as of receivedAt.
+	repeats    loadlist.Sum
 	receivedAt clock.Millis
 }
 
@@ -68,3 +70,45 @@
 	}
 	return arrivals
 }
+
+// receive takes over the counts of all other instances.
+func (d *zoneDemand) receive(loads loadlist.Loads, now clock.Millis) {
+	d.others, d.repeats, d.receivedAt = loads.Sums[loadlist.KindZoneDemand], loads.Sums[loadlist.KindRepeats], now
+}
+
+// requestsKey and repeatsKey are the keys of placement.RepeatCounts in loadlist.KindRepeats.
+func requestsKey(size placement.PartSize) loadlist.Key { return loadlist.Key(size + "/requests") }
+func repeatsKey(size placement.PartSize) loadlist.Key  { return loadlist.Key(size + "/repeats") }
+
+// tellZones adds what this instance counted to its loads; the caller holds the lock.
+func (t *Tracker) tellZones(loads loadlist.Loads, now clock.Millis) {
+	if sum := t.demand.sum(t.deps.Zone, now); len(sum) > 0 {
+		loads.Sums[loadlist.KindZoneDemand] = sum
+	}
+	sum := loadlist.Sum{}
+	for _, size := range placement.PartSizes {
+		counts := t.parts.Repeats(size, now)
+		if counts.Requests > 0 {
+			sum[requestsKey(size)] = counts.Requests
+		}
+		if counts.Repeats > 0 {
+			sum[repeatsKey(size)] = counts.Repeats
+		}
+	}
+	if len(sum) > 0 {
+		loads.Sums[loadlist.KindRepeats] = sum
+	}
+}
+
+// setZones completes a query by what is known of the zones' requests; the caller holds the lock.
+func (t *Tracker) setZones(q *placement.Query, service ticket.ServiceName, instances int) {
+	q.ZoneArrivals = t.demand.arrivals(service, t.deps.Zone, q.Now)
+	if q.ZoneArrivals == nil {
+		return
+	}
+	size := placement.SizeOf(q.Parts)
+	counts := t.parts.Repeats(size, q.Now)
+	counts.Requests += t.demand.repeats[requestsKey(size)]
+	counts.Repeats += t.demand.repeats[repeatsKey(size)]
+	q.ZoneHomes = placement.ZoneHomes(counts, instances, len(q.ZoneArrivals))
+}
--- a/entry/endpoints/zones_test.go
+++ b/entry/endpoints/zones_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"testing"
 
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/loadlist"
+	"foxtailbridge/policy/placement"
 	"foxtailbridge/policy/share"
 	"foxtailbridge/policy/ticket"
 )
@@ -43,3 +45,31 @@
 		})
 	}
 }
+
+// TestHomesByZoneAreAgreed guards against an instance that must see a part many times itself before
+// each zone has a home for it: one of 140 sees few requests.
+func TestHomesByZoneAreAgreed(t *testing.T) {
+	newTracker := func(zone ticket.ZoneName) *Tracker {
+		return New(Dependencies{
+			Zone: zone, Clock: clock.New(), Random: rand.New(rand.NewPCG(1, 1)), Instances: func() int { return 2 },
+			RetryLimits: func() RetryLimits { return RetryLimits{Window: clock.Second} },
+		})
+	}
+	busy, fresh := newTracker("a"), newTracker("b")
+	long := []placement.Part{{ID: "document", Tokens: 5000}, {ID: "own", Tokens: 10}}
+	for range 200 {
+		busy.CountRequest("s", long)
+	}
+	busy.demand.add("s", busy.deps.Clock.Mono())
+	fresh.SetPeerLoads(busy.LocalLoads())
+	for _, row := range []struct {
+		parts []placement.Part
+		want  bool
+	}{{long, true}, {[]placement.Part{{ID: "short", Tokens: 50}, {ID: "own", Tokens: 10}}, false}} {
+		q := &placement.Query{Now: fresh.deps.Clock.Mono(), Parts: row.parts}
+		fresh.setZones(q, "s", 2)
+		if q.ZoneHomes != row.want || q.ZoneArrivals["a"] <= 0 {
+			t.Errorf("%v: homes by zone %v, want %v, arrivals %v", row.parts, q.ZoneHomes, row.want, q.ZoneArrivals)
+		}
+	}
+}
--- a/policy/loadlist/loadlist.go
+++ b/policy/loadlist/loadlist.go
@@ -47,6 +47,8 @@
 	// KindZoneDemand is the number of requests sent to endpoints in the last second, by the zone of
 	// the instances and the service.
 	KindZoneDemand Kind = "zone-demand"
+	// KindRepeats holds placement.RepeatCounts of all services together, by the size of the parts.
+	KindRepeats Kind = "repeats"
 )
 
 // PrefillUnit is the number of prompt tokens that KindPrefill counts as one: exact numbers would
--- a/policy/placement/part_rates.go
+++ b/policy/placement/part_rates.go
@@ -22,8 +22,7 @@
 type PartRates struct {
 	windows map[PartID]*share.SlidingWindow
 	sweptAt clock.Millis
-	// repeats is the mean number of earlier requests with the same part in partWindow.
-	repeats MovingAverage
+	repeats repeatWindows
 }
 
 // Homes counts a request and returns how many endpoints should share its last shared part. One
@@ -40,15 +39,13 @@
 	r.sweep(now)
 	id := shared[len(shared)-1].ID
 	w := r.windows[id]
+	r.repeats.add(shared, w != nil && w.Sum(partWindow, now) > 0, now)
 	if w == nil {
-		r.addRepeat(0)
 		if len(r.windows) >= maxPartRates {
 			return 1
 		}
 		w = &share.SlidingWindow{}
 		r.windows[id] = w
-	} else {
-		r.addRepeat(float64(w.Sum(partWindow, now)))
 	}
 	// The request itself is left out: otherwise a part that is seen once would look hot.
 	earlier := float64(w.Sum(partWindow, now))
--- a/policy/placement/zones.go
+++ b/policy/placement/zones.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 
 	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/share"
 	"foxtailbridge/policy/ticket"
 )
 
@@ -222,27 +223,88 @@
 	return inScope && len(shared) > 0 && s.cachedTokens(shared, q.Model, q.Now) > 0
 }
 
+// PartSize says whether the shared parts of a prompt are long. Long ones, such as documents, are
+// usually requested more seldom than short ones, such as instructions, and cost more to read again.
+type PartSize string
+
+// Sizes of the shared parts of a prompt.
+const (
+	PartsShort PartSize = "short"
+	PartsLong  PartSize = "long"
+)
+
+// PartSizes lists all sizes.
+var PartSizes = []PartSize{PartsShort, PartsLong}
+
+// longPartTokens is the number of shared tokens from which they are long: reading them takes the largest
+// model longer than two crossings take.
+const longPartTokens = 2048
+
+// SizeOf returns the size of a prompt's shared parts.
+func SizeOf(parts []Part) PartSize {
+	return sizeOf(sharedParts(parts))
+}
+
+func sizeOf(shared []Part) PartSize {
+	if Tokens(shared) >= longPartTokens {
+		return PartsLong
+	}
+	return PartsShort
+}
+
+// RepeatCounts counts the requests with shared parts in the last 10 s, and those of them whose
+// instance had another one with the same part in the 10 s before.
+type RepeatCounts struct {
+	Requests, Repeats int
+}
+
+// repeatWindows holds the counts of one instance by size.
+type repeatWindows map[PartSize]*[2]share.SlidingWindow
+
+func (r *repeatWindows) add(shared []Part, repeat bool, now clock.Millis) {
+	if *r == nil {
+		*r = repeatWindows{}
+	}
+	size := sizeOf(shared)
+	if (*r)[size] == nil {
+		(*r)[size] = &[2]share.SlidingWindow{}
+	}
+	(*r)[size][0].Add(partWindow, now)
+	if repeat {
+		(*r)[size][1].Add(partWindow, now)
+	}
+}
+
+// Repeats returns this instance's counts.
+func (r *PartRates) Repeats(size PartSize, now clock.Millis) RepeatCounts {
+	w := r.repeats[size]
+	if w == nil {
+		return RepeatCounts{}
+	}
+	return RepeatCounts{Requests: w[0].Sum(partWindow, now), Repeats: w[1].Sum(partWindow, now)}
+}
+
 const (
 	// zoneHomeRequests is the number of requests with the same part, in the time for which it stays
 	// cached, from which each zone has a home for it: with 2 on average, one in seven finds no
 	// earlier one, which is what homeCachedChance takes a home for. With fewer, a home for all
 	// zones saves more reading than the crossing costs.
 	zoneHomeRequests = 2.0
-	// repeatWindow is the number of requests over which the repetition of parts is averaged, and
-	// minRepeatCount the number from which the average is used.
-	repeatWindow   = 500
-	minRepeatCount = 30
+	// minRepeatRequests is the number of requests from which the counts are used.
+	minRepeatRequests = 100
+	// maxRepeatShare is the share of repeats above which they say no more about the rate.
+	maxRepeatShare = 0.95
 )
 
-// addRepeat counts a request whose part this instance saw so many times in the last partWindow.
-func (r *PartRates) addRepeat(earlier float64) {
-	r.repeats.Count++
-	r.repeats.Mean += (earlier - r.repeats.Mean) / float64(min(r.repeats.Count, repeatWindow))
-}
-
-// ZoneHomes reports whether parts are requested often enough that each zone should have homes for
-// them. One instance sees few requests with the same part, so the mean of all parts is used.
-func (r *PartRates) ZoneHomes(instances, zones int) bool {
-	perPart := r.repeats.Mean * float64(instances) * float64(cachedPartTTL) / float64(partWindow)
-	return r.repeats.Count >= minRepeatCount && perPart >= zoneHomeRequests*float64(max(1, zones))
+// ZoneHomes reports, by the counts of all instances, whether parts are requested often enough that
+// each zone should have homes for them. An instance sees few requests with the same part, so the parts
+// of a size are taken to be requested equally often, at random.
+func ZoneHomes(counts RepeatCounts, instances, zones int) bool {
+	if counts.Requests < minRepeatRequests {
+		return false
+	}
+	repeats := min(maxRepeatShare, float64(counts.Repeats)/float64(counts.Requests))
+	perInstance := -math.Log(1 - repeats)
+	perPart := perInstance * float64(instances) * float64(cachedPartTTL) / float64(partWindow)
+	return perPart >= zoneHomeRequests*float64(max(1, zones))
 }
--- a/policy/placement/zones_test.go
+++ b/policy/placement/zones_test.go
@@ -203,26 +203,35 @@
 }
 
 // TestZoneHomes guards against a home per zone for parts that are seldom requested: each zone
-// would read them again.
+// would read them again. An instance sees one in so many of the requests, of which 500 come in a second.
 func TestZoneHomes(t *testing.T) {
 	for _, tt := range []struct {
 		name             string
 		parts, instances int
 		want             bool
 	}{
-		{"few parts, 140 instances", 100, 140, true}, {"few parts, 18 instances", 12, 18, true},
-		{"many parts", 5000, 140, false}, {"each part once", 1 << 30, 140, false},
+		{"few parts, 140 instances", 200, 140, true}, {"few parts, 18 instances", 200, 18, true},
+		{"many parts, 140 instances", 5000, 140, false}, {"many parts, 18 instances", 5000, 18, false},
+		{"each part once", 1 << 30, 140, false},
 	} {
-		var rates PartRates
 		random := rand.New(rand.NewPCG(1, 1))
-		if rates.ZoneHomes(tt.instances, 4) {
-			t.Errorf("%s: homes by zone before any request", tt.name)
+		rates := make([]PartRates, tt.instances)
+		const end = 20 * clock.Second
+		for now := clock.Millis(0); now < end; now += 2 {
+			part := Part{PartID(fmt.Sprint(random.IntN(tt.parts))), longPartTokens}
+			rates[random.IntN(tt.instances)].Homes([]Part{part, {"own", 1}}, 16, tt.instances, now)
 		}
-		for i := range 600 {
-			rates.Homes([]Part{{PartID(fmt.Sprint(random.IntN(tt.parts))), 1}, {"own", 1}}, 16, tt.instances, clock.Millis(i*300))
+		var sum, short RepeatCounts
+		for i := range rates {
+			c := rates[i].Repeats(PartsLong, end)
+			sum.Requests, sum.Repeats = sum.Requests+c.Requests, sum.Repeats+c.Repeats
+			short.Requests += rates[i].Repeats(PartsShort, end).Requests
 		}
-		if got := rates.ZoneHomes(tt.instances, 4); got != tt.want {
-			t.Errorf("%s: %v, mean %.3f", tt.name, got, rates.repeats.Mean)
+		if got := ZoneHomes(sum, tt.instances, 4); got != tt.want || short.Requests > 0 {
+			t.Errorf("%s: %v, want %v, %+v, short parts %+v", tt.name, got, tt.want, sum, short)
 		}
 	}
+	if ZoneHomes(RepeatCounts{Requests: minRepeatRequests - 1, Repeats: minRepeatRequests - 1}, 140, 4) {
+		t.Error("homes by zone after few requests")
+	}
 }
