--- a/entry/endpoints/loads.go
+++ b/entry/endpoints/loads.go
@@ -38,9 +38,7 @@
 	if len(backlog) > 0 {
 		loads.Sums[loadlist.KindPrefill] = backlog
 	}
-	if sum := t.demand.sum(t.deps.Zone, now); len(sum) > 0 {
-		loads.Sums[loadlist.KindZoneDemand] = sum
-	}
+	t.tellZones(loads, now)
 	return loads
 }
 
@@ -50,7 +48,7 @@
 	defer t.mu.Unlock()
 	now := t.deps.Clock.Mono()
 	backlog := loads.Sums[loadlist.KindPrefill]
-	t.demand.others, t.demand.receivedAt = loads.Sums[loadlist.KindZoneDemand], now
+	t.demand.receive(loads, now)
 	for run, s := range t.states.byRun {
 		s.SetPeerBacklog(float64(backlog[loadlist.Key(run.ID)])*loadlist.PrefillUnit, now)
 		s.SetPeerLoad(loads.InFlight[run.ID], loads.Failures[run.ID], now)
