policy/fairshare: A moment without endpoints leaves no lasting state

If no endpoint takes requests, as after all of them asked for a pause, or while the zone is in backoff, Capacity.Places is 0 and roomShare was 0/0. The NaN passed every comparison in RetryAfter and was stored in the bookings of the rank: each later caller of this and of less urgent ranks was told the same time, the shortest one, until the process ended. In the queue it was stored as the credit, and waiting requests were released only once half of the places were free, until the queue was empty.

Ruled out: Short and nearShort, which check for places first; a slot time of 0, for which rate returns 0 (0 x NaN is NaN still, so an instance that knows no slot time was affected too).

Result: the share of free places is 0 if there are none.

--- a/policy/fairshare/capacity.go
+++ b/policy/fairshare/capacity.go
@@ -37,7 +37,11 @@
 	return c.Places > 0 && (c.roomShare() < reportRoom || c.Refusing)
 }
 
+// roomShare returns the share of the places that are free, or 0 if there are none.
 func (c *Capacity) roomShare() float64 {
+	if c.Places <= 0 {
+		return 0
+	}
 	return c.Room / c.Places
 }
 
