policy/fairshare: The queue releases several requests between two polls

The credit of the queue was capped at one request, and the queue is polled once in 50 ms, so an instance released at most 20 requests a second and service, whatever its part of the endpoints' rate. Where that part is larger (few instances, or a plain service of 30 ms a request), requests that were let into the queue for an expected wait of 0.17 s were held while endpoints had room, new ones took the places, and the rest were refused as too late.

Before the change, at a rate of 375 a second with 20 of 45 places free: queue_test.go:207: 8 of 64 released in 400 ms

Ruled out: the expected wait, which follows the same rate without the cap.

Result: the credit may hold what was earned since the last poll, and no more are released at once than there are free places. TestQueueOrder, which guards against a release of all at once, passes unchanged.

--- a/policy/fairshare/queue.go
+++ b/policy/fairshare/queue.go
@@ -131,7 +131,9 @@
 func (l *Limiter) advance(c *Capacity, instances int, t Time) {
 	q := &l.queue
 	rate := l.ownRate(c, instances, t.Now)
-	q.credit = min(1, q.credit+rate*float64(t.Now-q.creditAt)/float64(clock.Second))
+	// The rate of a fast service releases several in the time between two polls.
+	earned := rate * float64(t.Now-q.creditAt) / float64(clock.Second)
+	q.credit = min(max(1, earned), q.credit+earned)
 	q.creditAt = t.Now
 	short := c.Short()
 	for _, w := range slices.Clone(q.waiting) {
@@ -144,7 +146,7 @@
 	}
 	q.sort()
 	// With much room, as after the return of a zone, all are released: it takes those of all instances.
-	for len(q.waiting) > 0 && c.Room >= 1 && (q.credit >= 1 || !c.nearShort()) {
+	for room := c.Room; len(q.waiting) > 0 && room >= 1 && (q.credit >= 1 || !c.nearShort()); room-- {
 		i := slices.IndexFunc(q.waiting, func(w *waiter) bool { return !short || w.drawn })
 		if i < 0 {
 			return
--- a/policy/fairshare/queue_test.go
+++ b/policy/fairshare/queue_test.go
@@ -175,3 +175,35 @@
 		}
 	}
 }
+
+// TestQueueRate guards against requests that are held although endpoints have room, at an instance
+// that takes a large part of a fast service: a queue that releases one request in each PollPeriod
+// lets new requests take the places and refuses the waiting ones as too late.
+func TestQueueRate(t *testing.T) {
+	capacity := Capacity{Slots: 18, Places: 45, Room: 20, SlotTime: 30} // 375 a second are released.
+	l := NewLimiter("s")
+	var tickets []Ticket
+	for i := range MaxWaiting {
+		r := Request{Group: workspace(1, 1), Content: uint64(i), TimeLeft: 2000}
+		l.Decide(r, capacity, 1, Time{1000, 1000})
+		ticket, ok := l.Wait(r, capacity, 1, Time{1000, 1000}, 100, true)
+		if !ok {
+			t.Fatalf("request %d does not wait", i)
+		}
+		tickets = append(tickets, ticket)
+	}
+	released := 0
+	for now := 1000 + PollPeriod; now <= 1400; now += PollPeriod {
+		for _, ticket := range tickets {
+			if l.Poll(ticket, func() Capacity { return capacity }, 1, Time{now, now}) == WaitReleased {
+				released++
+			}
+		}
+		if now == 1000+PollPeriod && released > 19 {
+			t.Errorf("%d released at once", released)
+		}
+	}
+	if released < MaxWaiting {
+		t.Errorf("%d of %d released in 400 ms", released, MaxWaiting)
+	}
+}
