policy/fairshare: An instance without others forgets groups too

Groups without requests were deleted only when demand is reported, and a report is made only for a message to another instance. A single instance kept each workspace and rank that ever sent a request.

Ruled out: an instance that is cut off, which keeps trying to send messages and so makes reports.

Result: they are deleted too when a new group comes.

--- a/policy/fairshare/limiter.go
+++ b/policy/fairshare/limiter.go
@@ -89,7 +89,7 @@
 // AddReport adds this instance's demand to what it tells others, if the service was nearly short
 // of capacity recently.
 func (l *Limiter) AddReport(sum loadlist.Sum, now clock.Millis) {
-	maps.DeleteFunc(l.groups, func(_ Group, g *group) bool { return now-g.lastAt > groupTTL })
+	l.forgetGroups(now)
 	if !l.reports || now-l.nearShortAt > reportFor {
 		return
 	}
@@ -100,6 +100,11 @@
 	}
 }
 
+// forgetGroups deletes the groups that had no requests for groupTTL.
+func (l *Limiter) forgetGroups(now clock.Millis) {
+	maps.DeleteFunc(l.groups, func(_ Group, g *group) bool { return now-g.lastAt > groupTTL })
+}
+
 func (l *Limiter) ownDemand(now clock.Millis) Rates {
 	own := Rates{}
 	for key, g := range l.groups {
@@ -175,6 +180,7 @@
 func (l *Limiter) count(r *Request, now clock.Millis) *group {
 	g := l.groups[r.Group]
 	if g == nil {
+		l.forgetGroups(now) // An instance without others makes no reports.
 		g = &group{}
 		l.groups[r.Group] = g
 	}
--- a/policy/fairshare/limiter_test.go
+++ b/policy/fairshare/limiter_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"math"
+	"strconv"
 	"testing"
 
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/loadlist"
+	"foxtailbridge/policy/ticket"
 )
 
 var (
@@ -119,3 +121,17 @@
 		t.Errorf("%d of 1800 let in, want half", admitted)
 	}
 }
+
+// TestGroupsForgotten guards against a table of groups that grows with each workspace that ever sent
+// a request, at an instance that reports to no others.
+func TestGroupsForgotten(t *testing.T) {
+	l := NewLimiter("s")
+	for i := range 1000 {
+		now := clock.Millis(i) * clock.Second
+		g := Group{Workspace: ticket.WorkspaceName(strconv.Itoa(i)), Rank: 1}
+		l.Decide(Request{Group: g, TimeLeft: 1000}, freeCapacity, 1, Time{now, now})
+	}
+	if n := len(l.groups); n > 12 {
+		t.Errorf("%d groups kept", n)
+	}
+}
