entry/forward: The end of a lack of capacity is logged without other instances

That a lack of capacity has ended was noticed only when demand is reported, and a report is made only for a message to another instance. A single instance logged capacity-short once, never its end, and no later lack of capacity.

Before the change, with two of them: admit_test.go:214: 1 begun, 0 ended

Ruled out: an instance that is cut off, which keeps trying to send messages.

Result: it is noticed with the next request too.

--- a/entry/forward/admit.go
+++ b/entry/forward/admit.go
@@ -70,6 +70,7 @@
 	defer f.mu.Unlock()
 	s, now := f.service(service), f.clock.Mono()
 	d := s.Decide(r, c, instances, fairshare.Time{Now: now, Wall: f.clock.Wall()})
+	f.logEnd(service, s, now) // An instance without others makes no reports.
 	if !d.Short {
 		return d
 	}
--- a/entry/forward/admit_test.go
+++ b/entry/forward/admit_test.go
@@ -197,3 +197,21 @@
 		}
 	})
 }
+
+// TestShortEndIsLogged guards against a single log line for all times of lacking capacity at an
+// instance that reports to no others.
+func TestShortEndIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, log := newFairHarness(t)
+		for range 2 {
+			h.setPeers(14, nil)
+			h.ask(100)
+			time.Sleep(3 * time.Second) // The load of others is stale by then.
+			h.ask(101)
+		}
+		begun, ended := strings.Count(log.String(), "capacity-short:"), strings.Count(log.String(), "capacity-short-ended:")
+		if begun != 2 || ended != 2 {
+			t.Errorf("%d begun, %d ended", begun, ended)
+		}
+	})
+}
