entry/forward: Requests wait although one endpoint is out for another reason

Whether a request may wait for a place was decided by the reason of the choice, which is that of the last endpoint in the view's order. While that one was in backoff, in cold start, held off or leaving, no request of the service waited at any instance, however many endpoints were full: all were refused at once with no-endpoint.

Before the change, with each of four endpoints in backoff in turn and a place free after 120 ms: wait_test.go:94: plain3 in backoff: status 503, no-endpoint

Ruled out: endpoints that all are out for other reasons, for which no request waits before and after; endpoints that were tried, as nothing has been sent.

Result: a request may wait if at least one of the endpoints is full.

--- a/entry/forward/wait.go
+++ b/entry/forward/wait.go
@@ -103,7 +103,7 @@
 }
 
 // mayWait reports whether a request that found no endpoint may wait for one: nothing has been
-// sent, and endpoints are full.
+// sent, and endpoints are full. The reason of the choice is that of a single endpoint.
 func (t *task) mayWait(ctx context.Context, choice placement.Choice) bool {
-	return ctx.Err() == nil && choice.State == nil && choice.Reason == routing.ReasonFull && t.sends == 0 && t.unsent == 0 && !t.headSent
+	return ctx.Err() == nil && choice.State == nil && choice.Rejections[routing.ReasonFull] > 0 && t.sends == 0 && t.unsent == 0 && !t.headSent
 }
--- a/entry/forward/wait_test.go
+++ b/entry/forward/wait_test.go
@@ -8,8 +8,10 @@
 	"testing/synctest"
 	"time"
 
+	"foxtailbridge/entry/endpoints"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/loadlist"
+	"foxtailbridge/policy/ticket"
 )
 
 // TestWait guards against a request that is refused though a place comes free a moment later, or that
@@ -75,3 +77,22 @@
 		}
 	})
 }
+
+// TestWaitBesideOneInBackoff guards against requests that are refused at once while endpoints are
+// full, because one endpoint, wherever in the list, is out for another reason.
+func TestWaitBesideOneInBackoff(t *testing.T) {
+	for i := range 4 {
+		synctest.Test(t, func(t *testing.T) {
+			h, _ := newFairHarness(t)
+			h.setPeers(16, nil)
+			out := h.endpoints.ProbeTargets(h.registry.View(), []ticket.ServiceName{"plain"}, 2*i+1)[0]
+			for range 4 {
+				h.endpoints.MarkUnreachable(out.State, endpoints.ContactRefused, "test")
+			}
+			defer time.AfterFunc(120*time.Millisecond, func() { h.setPeers(10, nil) }).Stop()
+			if got := h.serve(t.Context(), "/safe/x", nil); got.Status != http.StatusOK {
+				t.Errorf("%s in backoff: status %d, %s", out.Endpoint.ID, got.Status, got.Reason)
+			}
+		})
+	}
+}
