entry/endpoints: The capacity costs each request a look at each endpoint, not a search

Each request asks for the capacity of its service, also while endpoints are free. Capacity called View.Usable for each endpoint, which searches the view's list for it, so the cost rose with the square of the number of endpoints.

Ruled out: an endpoint that differs from the listed one, as the states have just been updated to the view; leaving, draining and drained zones are checked as in Reach.

--- a/entry/endpoints/capacity.go
+++ b/entry/endpoints/capacity.go
@@ -78,10 +78,11 @@
 	return c
 }
 
-// takesRequests reports whether an endpoint takes requests; the caller holds the lock.
+// takesRequests reports whether an endpoint of the view, to which the states were updated, takes
+// requests; the caller holds the lock. catalog.View.Usable would search the view for each.
 func (t *Tracker) takesRequests(view *registry.State, s *placement.State, zone ticket.ZoneName, now clock.Millis) bool {
 	e := s.Endpoint
-	return view.Usable(e) && s.WantsRequests(now) && !s.InBackoff(now) && (e.Zone == zone || !t.zones.inBackoff(e.Zone, now))
+	return mayGetRequests(view, s) && s.WantsRequests(now) && !s.InBackoff(now) && (e.Zone == zone || !t.zones.inBackoff(e.Zone, now))
 }
 
 // slotTimeOf returns for how long an attempt occupied a slot: the part of its time in which it did
