entry/endpoints: The loss of a service's only zone doesn't fail every instance's readiness

Load pattern: a zone loses power. If all endpoints of a service that may get requests were in that zone, the surviving instances of all zones counted the service as out of their own reach and failed the readiness check together, although they served the other services. Found in a review; the zones that such an instance still reaches show that it is not cut off.

A service counts as out of reach only while no other zone with endpoints is in reach. The case that the check is for, a zone that is cut off, is unchanged. What is lost: an instance that reaches one other zone, but not the one with the service, stays ready.

Evidence before: TestReadiness/the_only_zone_of_one_service_lost_power: "the check failed after 1.45s, want false". After: go test ./entry/forward ./entry/endpoints ./policy/readiness: ok. Ruled out: asking other instances for their reach, which is late when zones are cut off.

--- a/entry/endpoints/reach.go
+++ b/entry/endpoints/reach.go
@@ -12,11 +12,16 @@
 )
 
 // Reach counts, for each service of the view that has routes, the endpoints that an instance of
-// the zone can reach. Services with a reachable endpoint are left out.
+// the zone can reach. Services with a reachable endpoint are left out. While another zone is in reach
+// there are none: if it is a zone of the service that is lost, and not the link of this instance, all
+// instances see the same, and none could serve it.
 func (t *Tracker) Reach(view *registry.State, zone ticket.ZoneName) []readiness.Service {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.syncView(view, t.deps.Clock.Mono())
+	if !t.otherZonesCutOff(zone) {
+		return nil
+	}
 	var list []readiness.Service
 	for name := range view.Endpoints {
 		s := readiness.Service{Name: name}
@@ -40,6 +45,16 @@
 	return list
 }
 
+// otherZonesCutOff reports whether no other zone with endpoints is in reach; the caller holds the lock.
+func (t *Tracker) otherZonesCutOff(zone ticket.ZoneName) bool {
+	for _, s := range t.states.byRun {
+		if s.Endpoint.Zone != zone && !t.zones.cutOff(s.Endpoint.Zone) {
+			return false
+		}
+	}
+	return true
+}
+
 // mayGetRequests reports whether instances may send requests to a listed endpoint.
 func mayGetRequests(view *registry.State, s *placement.State) bool {
 	return !s.Leaving() && !s.Endpoint.Draining && !view.DrainedZones[s.Endpoint.Zone]
--- a/entry/forward/reach_test.go
+++ b/entry/forward/reach_test.go
@@ -49,6 +49,19 @@
 	}
 }
 
+// setZone sets a flag of the endpoints of a zone.
+func (h *harness) setZone(flags map[routing.EndpointID]bool, zone ticket.ZoneName, value bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, list := range h.registry.View().Endpoints {
+		for _, e := range list {
+			if e.Zone == zone {
+				flags[e.ID] = value
+			}
+		}
+	}
+}
+
 // TestReadiness guards against an instance in a zone that is cut off while its own endpoints are
 // drained (1,605 requests were refused that other zones could have served), and against a check
 // that fails on all instances at once because a service is down everywhere.
@@ -69,6 +82,11 @@
 			}
 		}, false},
 		{"all endpoints of one service crashed", func(h *harness) { h.setAll(h.refusing, "plain", true) }, false},
+		{"the only zone of one service lost power", func(h *harness) {
+			h.drainZone("a")
+			h.setZone(h.dead, "b", true)
+			h.setZone(h.refusing, "c", true)
+		}, false},
 		{"all hosts of one service are down", func(h *harness) { h.setAll(h.dead, "plain", true) }, false},
 	}
 	for _, row := range rows {
