policy/placement: Long prompts go to a group of endpoints with a moving boundary

Load pattern: head-of-line blocking. With the reported backlog alone, 5 % prompts of 50,000 tokens still delay the short ones beside them: the reports are 0.45 s old, an endpoint gets 0.4 long prompts a second at 0.5 to 0.7 of its capacity, and the short requests sent there in between are behind one.

All instances now agree on an order in which endpoints join a group for long prompts (at least twice the mean), with zones taking turns. Its size follows the share of the endpoints that read long prompts, which all instances take from the same reports, and is bounded so that both groups have the same reading to do. Short requests keep away from the group by how much of their goal the delay would take. A long prompt leaves the group before it misses its goal there, or behind two others. Backlog beyond 0.65 of a request's goal costs more. All of this is cost, spread by costLevel; nothing is reserved and none is refused. A long prompt of which the most is cached at an endpoint counts as short there. Only the arrivals of the same kind, long or short, count since the loads were told, and only those that are still running.

Services whose prompts are alike are placed as before.

--- a/entry/endpoints/loads.go
+++ b/entry/endpoints/loads.go
@@ -30,7 +30,7 @@
 		}
 		for _, s := range p.states {
 			// A smaller backlog is read before others learn of it.
-			if n := loadlist.PrefillUnits(s.PrefillTokens); n > 0 && s.PrefillTokens >= p.prompts.VariedMean() {
+			if n := loadlist.PrefillUnits(s.PrefillTokens); n > 0 && s.PrefillTokens >= p.prompts.Mean() {
 				backlog[loadlist.Key(s.Endpoint.ID)] += n
 			}
 		}
--- a/entry/endpoints/tracker.go
+++ b/entry/endpoints/tracker.go
@@ -86,7 +86,7 @@
 	q.ColdRate = share.FleetShare * service.ColdRate / float64(instances)
 	q.ZoneUnreachable = func(zone ticket.ZoneName) bool { return zone != q.Zone && t.zones.inBackoff(zone, q.Now) }
 	p := t.states.pool(service.Name)
-	q.MeanPrompt = p.prompts.VariedMean()
+	q.Prompts = p.prompts.Mix(p.states, q.Now)
 	if instances > 1 {
 		q.Arrivals = max(1, placement.StaleArrivals(p.states, p.times.mean(), instances, q.Now))
 	}
@@ -125,7 +125,9 @@
 	// PrefillTokens is the weighted number of prompt tokens that the endpoint had yet to
 	// read.
 	PrefillTokens float64
-	Packable      bool
+	// PromptTokens is the weighted number of tokens of the whole prompt.
+	PromptTokens float64
+	Packable     bool
 }
 
 // AttemptEnded removes an attempt from its endpoint's in-flight requests.
@@ -134,7 +136,9 @@
 	defer t.mu.Unlock()
 	r.State.OwnInFlight--
 	r.State.PrefillTokens -= r.PrefillTokens
-	t.states.pool(r.Service).times.add(t.deps.Clock.Mono()-r.SentAt, r.Packable)
+	p, took := t.states.pool(r.Service), t.deps.Clock.Mono()-r.SentAt
+	p.times.add(took, r.Packable)
+	p.prompts.AddRun(r.PromptTokens, took)
 }
 
 // PackableShare returns the share of a service's in-flight requests that may be packed.
--- a/entry/forward/place.go
+++ b/entry/forward/place.go
@@ -107,6 +107,7 @@
 		Parts:            t.request.PromptParts,
 		Model:            t.model,
 		RelativeCost:     t.relativeCost(),
+		FirstEventGoal:   t.route.FirstByteGoal,
 		CrossZoneBytes:   len(t.request.Body),
 		Accept:           accept,
 		Tried:            t.tried,
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -24,6 +24,8 @@
 	// prefillTokens is the weighted number of prompt tokens that the endpoint has yet
 	// to read.
 	prefillTokens float64
+	// promptTokens is the weighted number of tokens of the whole prompt.
+	promptTokens float64
 	// packedEndpoints is the number of endpoints that are filled on purpose with requests
 	// like this one, or 0.
 	packedEndpoints int
@@ -105,7 +107,7 @@
 	}
 	r.ended = true
 	r.task.endpoints.AttemptEnded(endpoints.EndedAttempt{
-		State: r.state, Service: r.task.service.Name, SentAt: r.sentAt, PrefillTokens: r.prefillTokens, Packable: r.packable,
+		State: r.state, Service: r.task.service.Name, SentAt: r.sentAt, PrefillTokens: r.prefillTokens, PromptTokens: r.promptTokens, Packable: r.packable,
 	})
 	r.prefillTokens = 0
 }
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -132,9 +132,10 @@
 // attempt sends the request to one endpoint and reads the response headers.
 func (t *task) attempt(ctx context.Context, choice placement.Choice) (attempt.Outcome, *run) {
 	s := choice.State
+	promptTokens := t.relativeCost() * float64(placement.Tokens(t.request.PromptParts))
 	r := &run{
 		task: t, state: s, endpoint: choice.Endpoint, model: t.model, sentAt: t.clock.Mono(),
-		prefillTokens: t.relativeCost() * float64(placement.Tokens(t.request.PromptParts)), packedEndpoints: choice.PackedEndpoints,
+		prefillTokens: promptTokens, promptTokens: promptTokens, packedEndpoints: choice.PackedEndpoints,
 		packable: placement.Packable(t.request.PromptParts, t.relativeCost()),
 	}
 	t.lastEndpoint = r.endpoint
--- a/loadtest/experiment/fleet.go
+++ b/loadtest/experiment/fleet.go
@@ -77,6 +77,8 @@
 	ColdRate float64
 	// FailureShare is the share of the runs that fail at any endpoint, at once.
 	FailureShare float64
+	// Prompts configures long prompts beside short ones; nil means that prompts take no time.
+	Prompts *FleetPrompts
 }
 
 // LargeFleet returns a fleet of the given size with the load of Kylmäkiertö's largest
@@ -122,6 +124,10 @@
 	// that a request waited for one.
 	SlowRuns int
 	SlowWait clock.Millis
+	// ShortFirst and LongFirst are the times to the first event, in milliseconds.
+	ShortFirst, LongFirst *hdrhistogram.Histogram
+	// PrefillChanges counts the numbers of backlog that instances sent each other.
+	PrefillChanges int
 }
 
 // String formats the result as one line.
@@ -146,6 +152,9 @@
 	tried    []*placement.State
 	// homes is the number of endpoints that share the part.
 	homes int
+	// promptTokens is the number of tokens of the prompt, which may be long.
+	promptTokens int
+	long         bool
 }
 
 // fleetEndpoint is an endpoint with slots, a queue and a cache of prompt parts.
@@ -158,6 +167,8 @@
 	cached    map[placement.PartID]bool
 	peak      int
 	arrivals  []clock.Millis
+	// readUntil is when all prompts that the endpoint has taken are read.
+	readUntil clock.Millis
 }
 
 // fleetInstance is an instance with what it knows of the endpoints.
@@ -165,6 +176,7 @@
 	zone   int
 	states []*placement.State
 	parts  placement.PartRates
+	sizes  placement.PromptSizes
 	// received is the list that a reader has of this member, others the list of all others
 	// that the instance has.
 	received, others loadlist.List
@@ -189,6 +201,11 @@
 	instances []*fleetInstance
 	zones     []*fleetZone
 	result    FleetResult
+	// ended counts the requests that have ended after reading a prompt, ranFor is their time.
+	ended  int
+	ranFor clock.Millis
+	// untilLong counts down the requests of which the one at nextLong has a long prompt.
+	untilLong, nextLong int
 }
 
 const (
@@ -215,7 +232,7 @@
 func fleetZoneName(i int) ticket.ZoneName { return ticket.ZoneName(fmt.Sprint("z", i)) }
 
 func newFleet(load FleetLoad) *fleet {
-	f := &fleet{load: load, random: rand.New(rand.NewPCG(load.Seed, 21)), byID: map[routing.EndpointID]int{}, result: FleetResult{Load: load, Wait: newHistogram()}}
+	f := &fleet{load: load, random: rand.New(rand.NewPCG(load.Seed, 21)), byID: map[routing.EndpointID]int{}, result: FleetResult{Load: load, Wait: newHistogram(), ShortFirst: newHistogram(), LongFirst: newHistogram()}}
 	for range load.Zones {
 		f.zones = append(f.zones, &fleetZone{received: make([]loadlist.List, load.Zones)})
 	}
@@ -251,6 +268,9 @@
 // RunFleet simulates a fleet and returns its result.
 func RunFleet(load FleetLoad) FleetResult {
 	f := newFleet(load)
+	if load.Prompts != nil {
+		f.warmUp()
+	}
 	f.scheduleArrivals()
 	for _, zone := range f.zones {
 		for k, member := range zone.members {
@@ -289,8 +309,12 @@
 // scheduleArrivals schedules all requests as a Poisson process.
 func (f *fleet) scheduleArrivals() {
 	rate := f.load.Utilization * float64(f.load.Endpoints*f.load.Slots) / float64(f.load.MeanRun)
+	if f.load.Prompts != nil {
+		rate = f.load.Prompts.rate(f.load)
+	}
 	for at := f.random.ExpFloat64() / rate; clock.Millis(at) < f.load.Duration; at += f.random.ExpFloat64() / rate {
 		r := &fleetRequest{instance: f.instances[f.random.IntN(len(f.instances))], arrived: clock.Millis(at)}
+		f.drawPrompt(r)
 		late := r.arrived >= f.load.Duration/2
 		r.part = placement.PartID(fmt.Sprint("part", f.random.IntN(f.load.Parts)))
 		if f.load.Scenario == FleetHotPart && late && f.random.Float64() < fleetHotShare {
@@ -323,6 +347,7 @@
 			loads.Failures[s.Endpoint.ID] = n
 		}
 	}
+	f.addBacklog(instance, loads)
 	return loads
 }
 
@@ -345,7 +370,9 @@
 // readers of all other zones.
 func (f *fleet) exchange(zone *fleetZone, instance *fleetInstance, reader bool) {
 	update := func(list *loadlist.List, loads loadlist.Loads) {
-		list.Apply(list.Diff(loads))
+		changed := list.Diff(loads)
+		f.result.PrefillChanges += len(changed.Sums[loadlist.KindPrefill])
+		list.Apply(changed)
 		list.Version++
 	}
 	if reader {
@@ -368,6 +395,7 @@
 	}
 	for _, s := range instance.states {
 		s.SetPeerLoad(others.InFlight[s.Endpoint.ID], others.Failures[s.Endpoint.ID], f.now)
+		s.SetPeerBacklog(float64(others.Sums[loadlist.KindPrefill][loadlist.Key(s.Endpoint.ID)])*loadlist.PrefillUnit, f.now)
 	}
 }
 
@@ -381,8 +409,9 @@
 	if f.load.PartTokens > 0 {
 		q.Parts = []placement.Part{{ID: r.part, Tokens: f.load.PartTokens}, {ID: "own", Tokens: f.load.PartTokens}}
 	}
+	f.setPrompt(q, r)
 	if f.load.Policy == FleetSpread {
-		q.Arrivals = placement.StaleArrivals(r.instance.states, f.load.MeanRun, f.load.Instances, f.now)
+		q.Arrivals = placement.StaleArrivals(r.instance.states, f.meanRun(), f.load.Instances, f.now)
 		if len(r.tried) == 0 {
 			r.homes = r.instance.parts.Homes(q.Parts, f.load.Slots, f.load.Instances, f.now)
 		}
@@ -397,6 +426,7 @@
 		return
 	}
 	r.state = choice.State
+	r.instance.sizes.Add(float64(r.promptTokens))
 	f.arrive(f.endpoints[f.byID[choice.Endpoint.ID]], r)
 }
 
@@ -446,6 +476,10 @@
 
 func (f *fleet) run(e *fleetEndpoint, r *fleetRequest) {
 	e.running++
+	if f.load.Prompts != nil {
+		f.read(e, r)
+		return
+	}
 	_ = f.result.Wait.RecordValue(int64(f.now - r.arrived))
 	r.state.PrefillTokens = 0
 	r.state.SetReportedLoad(f.loadOf(e), f.now)
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -45,9 +45,11 @@
 	// Arrivals is the number of requests that other instances are expected to have sent to
 	// the service's endpoints since the loads were told, or 0 if the loads are exact.
 	Arrivals float64
-	// MeanPrompt is the mean number of weighted prompt tokens of the service's requests, or 0 if
-	// its prompts are alike. The backlog that other instances report then is no part of the cost.
-	MeanPrompt float64
+	// Prompts describes the service's prompts, or is nil if they are alike. The backlog that other
+	// instances report then is no part of the cost.
+	Prompts *PromptMix
+	// FirstEventGoal is the time up to which the first event of the response is in time, or 0.
+	FirstEventGoal clock.Millis
 	// Homes is the number of endpoints that share the prompt's last shared part; 0 means one.
 	Homes int
 	// AllowUnconfirmed allows an endpoint that was unreachable and has not responded since.
@@ -201,13 +203,14 @@
 			best.State, best.Cost, best.Reason = o.state, cost, reasonFor(o.state, home, len(q.Parts))
 		}
 	}
-	if q.Arrivals <= 0 {
+	arrivals := q.addBacklogCosts(options)
+	if arrivals <= 0 {
 		for _, o := range options {
 			consider(o, 0)
 		}
 		return
 	}
-	level := costLevel(options, q.Arrivals)
+	level := costLevel(options, arrivals)
 	rooms := make([]float64, len(options))
 	for i, o := range options {
 		rooms[i] = o.room(level)
@@ -342,8 +345,7 @@
 
 // newOption returns an endpoint with the costs that are the same for all requests.
 func (q *Query) newOption(s *State) option {
-	o := option{state: s, utilization: s.Utilization(q.Now), costPerArrival: q.MeanPrompt / q.readRate(s)}
-	o.fixedCost = q.peerBacklogTime(s)
+	o := option{state: s, utilization: s.Utilization(q.Now)}
 	if s.Endpoint.Zone != q.Zone {
 		o.fixedCost += crossZoneCost + crossZoneCostPerKB*float64(q.CrossZoneBytes)/1024
 	}
