--- a/entry/endpoints/tracker.go
+++ b/entry/endpoints/tracker.go
@@ -93,7 +93,7 @@
 	q.ColdRate = share.FleetShare * service.ColdRate / float64(instances)
 	q.ZoneUnreachable = func(zone ticket.ZoneName) bool { return zone != q.Zone && t.zones.inBackoff(zone, q.Now) }
 	p := t.states.pool(service.Name)
-	q.MeanPrompt = p.prompts.VariedMean()
+	q.Prompts = p.prompts.Mix(p.states, q.Now)
 	if service.Engine != nil {
 		q.Memory.Capacity, q.Memory.OthersMean = service.Engine.KVCapacity, p.times.meanTokens()
 	}
@@ -145,8 +145,10 @@
 	// read.
 	PrefillTokens float64
 	// Tokens is the number of tokens of the request, as in the query by which it was placed.
-	Tokens   int
-	Packable bool
+	Tokens int
+	// PromptTokens is the weighted number of tokens of the whole prompt.
+	PromptTokens float64
+	Packable     bool
 	// Rejected is true if the endpoint stated that it did not run the request.
 	Rejected bool
 }
@@ -162,6 +164,7 @@
 	r.State.PrefillTokens -= r.PrefillTokens
 	r.State.OwnTokens -= r.Tokens
 	p.times.add(now-r.SentAt, r.Packable, r.Tokens)
+	p.prompts.AddRun(r.PromptTokens, now-r.SentAt)
 	p.use.countAttempt(r.Rejected, now)
 	return slotTime
 }
--- a/entry/forward/run.go
+++ b/entry/forward/run.go
@@ -24,6 +24,8 @@
 	// prefillTokens is the weighted number of prompt tokens that the endpoint has yet
 	// to read.
 	prefillTokens float64
+	// promptTokens is the weighted number of tokens of the whole prompt.
+	promptTokens float64
 	// packedEndpoints is the number of endpoints that are filled on purpose with requests
 	// like this one, or 0.
 	packedEndpoints int
@@ -137,7 +139,7 @@
 	rejected := r.response != nil && r.response.NotRun
 	slotTime := r.task.endpoints.AttemptEnded(endpoints.EndedAttempt{
 		State: r.state, Service: r.task.service.Name, SentAt: r.sentAt, PrefillTokens: r.prefillTokens, Packable: r.packable, Rejected: rejected,
-		Tokens: r.task.request.tokens(),
+		Tokens: r.task.request.tokens(), PromptTokens: r.promptTokens,
 	})
 	if r.response != nil && !rejected { // Without a response it is not known what the attempt occupied.
 		r.task.slotTime += slotTime
--- a/policy/placement/zones.go
+++ b/policy/placement/zones.go
@@ -66,7 +66,9 @@
 
 // zonePools divides the options by zone. It returns nil if the request has no zone to
 // prefer: the zone has too few endpoints, there is no other, or its arrivals are not known.
-func (q *Query) zonePools(options []option) []*zonePool {
+//
+// share is the part of the arrivals that chooses the same endpoints as the request.
+func (q *Query) zonePools(options []option, share float64) []*zonePool {
 	if q.ZoneArrivals == nil {
 		return nil
 	}
@@ -76,7 +78,7 @@
 		if p := findPool(pools, name); p != nil {
 			p.count++
 		} else {
-			pools = append(pools, &zonePool{name: name, count: 1, arrivals: q.ZoneArrivals[name]})
+			pools = append(pools, &zonePool{name: name, count: 1, arrivals: share * q.ZoneArrivals[name]})
 		}
 	}
 	own := findPool(pools, q.Zone)
@@ -147,11 +149,11 @@
 // than the cost of the crossing. Each request of such a zone has the same probability to cross. The zone is
 // drawn before the endpoint: if the home of its prompt part could keep a request in a zone that is
 // too full, all would stay until the home costs more than the part is worth, and then all would leave.
-func (q *Query) spread(options []option, random *rand.Rand) (list []option, rooms []float64, level float64) {
+func (q *Query) spread(options []option, arrivals float64, random *rand.Rand) (list []option, rooms []float64, level float64) {
 	q.scope = ""
-	pools := q.zonePools(options)
+	pools := q.zonePools(options, arrivals/max(1, q.Arrivals))
 	if pools == nil {
-		list, level = options, costLevel(options, q.Arrivals)
+		list, level = options, costLevel(options, arrivals)
 	} else {
 		crossing := q.otherZoneCost()
 		exchange := exchangeLevel(pools, crossing)
