entry/forward: Log lines and a counter say what a prompt's length decided

Where prompts differ in length, a request's endpoint depends on the group for long prompts and on the reported backlog, and nothing showed either. The request's log line now has the prompt's kind, where it went (group, beside, late), the known backlog and the size of the group; the counter prompts_placed has the first two as tags. Volume: four more keys in a line that exists already; none where prompts are alike (TestPromptLogLine, which fails without the keys).

--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -183,6 +183,9 @@
 	if t.firstByteAt > 0 {
 		args = append(args, "first-ms", int64(t.firstByteAt-t.request.ReceivedAt), "pause-ms", int64(t.longestEventGap))
 	}
+	if p := t.promptChoice; p != nil {
+		args = append(args, "prompt", promptLength(p), "placement", p.Placement, "backlog-ms", int64(p.Backlog), "group", p.Group)
+	}
 	if t.progress != nil && t.lastAnswered != nil {
 		args = append(args, "delay", t.lastAnswered.delay, "usual-ms", int64(t.lastAnswered.usualDelay))
 	}
--- a/entry/forward/place.go
+++ b/entry/forward/place.go
@@ -161,6 +161,7 @@
 			if choice.State != nil {
 				t.arm = c.arm
 				t.model = q.Model
+				t.countPrompt(choice.Prompt)
 				return choice
 			}
 			if refusal.Considered == 0 {
@@ -171,6 +172,22 @@
 	return refusal
 }
 
+// countPrompt counts and keeps what a prompt's length decided; nil means nothing.
+func (t *task) countPrompt(choice *placement.PromptChoice) {
+	if t.promptChoice = choice; choice == nil {
+		return
+	}
+	t.deps.Scope.Tagged(map[string]string{"prompt": promptLength(choice), "placement": string(choice.Placement)}).Counter("prompts_placed").Inc(1)
+}
+
+// promptLength returns the length of a placed prompt for logs and metrics.
+func promptLength(choice *placement.PromptChoice) string {
+	if choice.Long {
+		return "long"
+	}
+	return "short"
+}
+
 // fillsWithLargest reports whether the request runs on the largest model at once because it
 // fills an endpoint under light load: it keeps a slot busy for longer and is not run twice, so
 // that fewer requests are exposed to the new release.
--- a/entry/forward/record_test.go
+++ b/entry/forward/record_test.go
@@ -13,6 +13,7 @@
 	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/evidence"
+	"foxtailbridge/policy/placement"
 	"foxtailbridge/policy/rollout"
 )
 
@@ -134,3 +135,45 @@
 	}
 	return session
 }
+
+// TestPromptLogLine guards against prompts whose length decided where a request went without a
+// trace in its log line, and against such keys where prompts are alike.
+func TestPromptLogLine(t *testing.T) {
+	const long, short = 50_000, 800
+	tests := []struct {
+		name string
+		// longEvery is the number of requests of which one has a long prompt.
+		longEvery int
+		// last is the size of the last prompt.
+		last int
+		want string
+	}{
+		{"alike", 100, short, ""},
+		{"a short one", 20, short, "prompt=short placement=beside backlog-ms=0 group=0"},
+		{"a long one", 20, long, "prompt=long placement=beside backlog-ms=0 group=0"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness()
+				h.respond = func(int, *Attempt) (*Response, error) { return streamResponse(90, io.EOF, "1"), nil }
+				send := func(tokens int) {
+					h.serve(t.Context(), "/note/x", func(r *Request) { r.PromptParts = []placement.Part{{ID: "own", Tokens: tokens}} })
+				}
+				for i := range 60 {
+					if i%tt.longEvery == tt.longEvery-1 {
+						send(long)
+					} else {
+						send(short)
+					}
+				}
+				var log bytes.Buffer
+				h.logger = hclog.New(&hclog.LoggerOptions{Output: &log})
+				send(tt.last)
+				if !strings.Contains(log.String(), "outcome=served") || !strings.Contains(log.String(), tt.want) || tt.want == "" && strings.Contains(log.String(), "prompt=") {
+					t.Errorf("want %q: %s", tt.want, log.String())
+				}
+			})
+		})
+	}
+}
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -38,7 +38,9 @@
 	model    ticket.ModelName
 	// homes is the number of endpoints that share the prompt's last shared part.
 	homes int
-	tried []*placement.State
+	// promptChoice says what the prompt's length decided about the last attempt, or is nil.
+	promptChoice *placement.PromptChoice
+	tried        []*placement.State
 	// onTrial is true if the request finds out whether a quarantined prompt part still
 	// crashes endpoints.
 	onTrial bool
--- a/loadtest/experiment/fleet_prompts.go
+++ b/loadtest/experiment/fleet_prompts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/loadlist"
@@ -18,6 +19,11 @@
 	PromptsOwn PromptPolicy = "own"
 	// PromptsReported adds the backlog that other instances report to the cost.
 	PromptsReported PromptPolicy = "reported"
+	// PromptsBound also bounds the backlog by the goal for the first event.
+	PromptsBound PromptPolicy = "bound"
+	// PromptsPriority is PromptsOwn before endpoints that read short prompts first, between chunks
+	// of long ones.
+	PromptsPriority PromptPolicy = "priority"
 	// PromptsGroups also sends long prompts to a group of endpoints with a moving boundary.
 	PromptsGroups PromptPolicy = "groups"
 )
@@ -111,10 +117,13 @@
 	if r.long {
 		q.FirstEventGoal = p.LongGoal
 	}
-	if p.Policy != PromptsOwn {
+	if p.Policy == PromptsReported {
+		q.FirstEventGoal = 0
+	}
+	if p.Policy != PromptsOwn && p.Policy != PromptsPriority {
 		q.Prompts = r.instance.sizes.Mix(r.instance.states, f.now)
 	}
-	if p.Policy == PromptsReported && q.Prompts != nil {
+	if p.Policy != PromptsGroups && q.Prompts != nil {
 		q.Prompts.Reading = 0
 	}
 }
@@ -148,28 +157,69 @@
 	if i%3 == 0 {
 		took *= p.Slowness
 	}
+	if p.Policy == PromptsPriority {
+		f.readByPriority(e, r, clock.Millis(took))
+		return
+	}
 	e.readUntil = max(f.now, e.readUntil) + clock.Millis(took)
-	f.schedule(e.readUntil, func() {
-		r.state.PrefillTokens -= float64(r.promptTokens)
-		histogram := f.result.ShortFirst
-		if r.long {
-			histogram = f.result.LongFirst
+	f.schedule(e.readUntil, func() { f.firstEvent(e, r) })
+}
+
+// fleetChunk is the number of tokens of a long prompt that an endpoint reads before it looks for
+// short ones.
+const fleetChunk = 2048
+
+// readByPriority reads a short prompt before all long ones, which it delays.
+func (f *fleet) readByPriority(e *fleetEndpoint, r *fleetRequest, took clock.Millis) {
+	until := &e.readUntil
+	if r.long {
+		until = &e.longUntil
+		*until = max(*until, e.readUntil)
+	}
+	*until = max(f.now, *until) + took
+	r.readAt = *until
+	if r.long {
+		e.long = append(e.long, r)
+	} else if len(e.long) > 0 {
+		r.readAt += clock.Millis(fleetChunk / f.load.Prompts.ReadRate)
+		e.longUntil += took
+		for _, long := range e.long {
+			long.readAt += took
 		}
-		if r.arrived >= f.load.Duration/4 { // Instances know nothing of the prompts at first.
-			_ = histogram.RecordValue(int64(f.now - r.arrived))
+	}
+	var check func()
+	check = func() {
+		if f.now < r.readAt { // Short ones came first.
+			f.schedule(r.readAt, check)
+			return
+		}
+		e.long = slices.DeleteFunc(e.long, func(long *fleetRequest) bool { return long == r })
+		f.firstEvent(e, r)
+	}
+	f.schedule(r.readAt, check)
+}
+
+// firstEvent sends the first event of a response, and later the last.
+func (f *fleet) firstEvent(e *fleetEndpoint, r *fleetRequest) {
+	r.state.PrefillTokens -= float64(r.promptTokens)
+	histogram := f.result.ShortFirst
+	if r.long {
+		histogram = f.result.LongFirst
+	}
+	if r.arrived >= f.load.Duration/4 { // Instances know nothing of the prompts at first.
+		_ = histogram.RecordValue(int64(f.now - r.arrived))
+	}
+	f.schedule(f.now+clock.Millis(f.random.ExpFloat64()*float64(f.load.MeanRun)), func() {
+		e.running--
+		f.ended++
+		f.ranFor += f.now - r.arrived
+		r.instance.sizes.AddRun(float64(r.promptTokens), f.now-r.arrived)
+		r.state.OwnInFlight--
+		if len(e.waiting) > 0 {
+			next := e.waiting[0]
+			e.waiting = e.waiting[1:]
+			f.run(e, next)
 		}
-		f.schedule(f.now+clock.Millis(f.random.ExpFloat64()*float64(f.load.MeanRun)), func() {
-			e.running--
-			f.ended++
-			f.ranFor += f.now - r.arrived
-			r.instance.sizes.AddRun(float64(r.promptTokens), f.now-r.arrived)
-			r.state.OwnInFlight--
-			if len(e.waiting) > 0 {
-				next := e.waiting[0]
-				e.waiting = e.waiting[1:]
-				f.run(e, next)
-			}
-		})
 	})
 }
 
--- a/policy/placement/backlog.go
+++ b/policy/placement/backlog.go
@@ -294,8 +294,9 @@
 			continue
 		}
 		longTime, position := m.Long/rate, positions[i]
+		o.inGroup = position <= group
 		switch long := unread >= m.LongFrom; {
-		case long && position <= group:
+		case long && o.inGroup:
 			o.fixedCost += longTime * max(0, 1-(group-position)/groupMargin)
 		case long && allowed > 0:
 			o.fixedCost += min(outsideCost*longTime, max(longTime, allowed))
@@ -312,3 +313,49 @@
 	}
 	return q.Arrivals * share
 }
+
+// PromptChoice says what decided about a request of a service whose prompts differ in length.
+type PromptChoice struct {
+	// Long is true if the endpoint has a long prompt to read for the request.
+	Long bool
+	// Placement says where the request went.
+	Placement PromptPlacement
+	// Backlog is how long the endpoint takes to read the prompts before this one, as far as is known.
+	Backlog clock.Millis
+	// Group is the number of endpoints in the group for long prompts, of those that were considered.
+	Group int
+}
+
+// PromptPlacement says where a request went, seen from its prompt.
+type PromptPlacement string
+
+// Placements of requests.
+const (
+	// PromptInGroup means an endpoint of the group for long prompts.
+	PromptInGroup PromptPlacement = "group"
+	// PromptBeside means any other endpoint.
+	PromptBeside PromptPlacement = "beside"
+	// PromptLate means an endpoint where reading takes more than goalShare of the request's goal.
+	PromptLate PromptPlacement = "late"
+)
+
+// describePrompt returns what decided about the request's prompt, or nil if prompts are alike.
+func (q *Query) describePrompt(chosen *State, options []option) *PromptChoice {
+	if q.Prompts == nil {
+		return nil
+	}
+	rate, unread := q.readRate(chosen), q.unreadTokens(chosen)
+	backlog := (chosen.PrefillTokens + chosen.peerBacklogTokens(q.Now)) / rate
+	c := &PromptChoice{Long: unread >= q.Prompts.LongFrom, Placement: PromptBeside, Backlog: clock.Millis(backlog)}
+	for _, o := range options {
+		if o.inGroup {
+			if c.Group++; o.state == chosen {
+				c.Placement = PromptInGroup
+			}
+		}
+	}
+	if q.FirstEventGoal > 0 && backlog+unread/rate > goalShare*float64(q.FirstEventGoal) {
+		c.Placement = PromptLate
+	}
+	return c
+}
--- a/policy/placement/backlog_test.go
+++ b/policy/placement/backlog_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -191,11 +192,14 @@
 		inGroup bool
 		// allowed restricts the endpoints further, if set.
 		allowed func(*State) bool
+		// placement is how the choice is described.
+		placement PromptPlacement
 	}{
-		{name: "a short prompt keeps away from the group", parts: []Part{{"own", shortPrompt}}, goal: goal},
-		{name: "a long prompt uses the group", parts: []Part{{"own", longPrompt}}, goal: longGoal, inGroup: true},
+		{name: "a short prompt keeps away from the group", parts: []Part{{"own", shortPrompt}}, goal: goal, placement: PromptBeside},
+		{name: "a long prompt uses the group", parts: []Part{{"own", longPrompt}}, goal: longGoal, inGroup: true, placement: PromptInGroup},
 		{
-			name: "a long prompt waits in the group rather than to delay short ones", parts: []Part{{"own", longPrompt}}, goal: longGoal, inGroup: true,
+			placement: PromptInGroup,
+			name:      "a long prompt waits in the group rather than to delay short ones", parts: []Part{{"own", longPrompt}}, goal: longGoal, inGroup: true,
 			change: func(s *State, inGroup bool, _ float64) {
 				if inGroup {
 					s.SetPeerBacklog(longPrompt, 1000)
@@ -203,7 +207,8 @@
 			},
 		},
 		{
-			name: "a long prompt leaves the group before it misses its goal there", parts: []Part{{"own", longPrompt}}, goal: longGoal,
+			placement: PromptBeside,
+			name:      "a long prompt leaves the group before it misses its goal there", parts: []Part{{"own", longPrompt}}, goal: longGoal,
 			change: func(s *State, inGroup bool, _ float64) {
 				if inGroup {
 					s.SetPeerBacklog(3*longPrompt, 1000)
@@ -211,7 +216,8 @@
 			},
 		},
 		{
-			name: "a short goal is kept at a fuller endpoint", parts: []Part{{"own", shortPrompt}}, goal: 500,
+			placement: PromptBeside,
+			name:      "a short goal is kept at a fuller endpoint", parts: []Part{{"own", shortPrompt}}, goal: 500,
 			change: func(s *State, _ bool, position float64) {
 				if s.SetPeerLoad(15, 0, 1000); position < 0.95 {
 					s.SetPeerLoad(2, 0, 1000)
@@ -221,7 +227,8 @@
 			allowed: func(s *State) bool { return s.peerBacklog.tokens == 0 },
 		},
 		{
-			name: "a long prompt of which the most is cached counts as short", parts: []Part{{"shared", longPrompt}, {"own", shortPrompt}}, goal: longGoal,
+			placement: PromptBeside,
+			name:      "a long prompt of which the most is cached counts as short", parts: []Part{{"shared", longPrompt}, {"own", shortPrompt}}, goal: longGoal,
 			change: func(s *State, _ bool, position float64) {
 				if position == 1 {
 					s.RecordCached([]Part{{"shared", longPrompt}}, "", 1000)
@@ -230,7 +237,8 @@
 			allowed: func(s *State) bool { return len(s.cachedParts) > 0 },
 		},
 		{
-			name: "a long prompt is placed when all endpoints read long ones", parts: []Part{{"own", longPrompt}}, goal: longGoal, inGroup: true,
+			placement: PromptLate,
+			name:      "a long prompt is placed when all endpoints read long ones", parts: []Part{{"own", longPrompt}}, goal: longGoal, inGroup: true,
 			change: func(s *State, _ bool, _ float64) { s.SetPeerBacklog(10*longPrompt, 1000) },
 		},
 	}
@@ -257,6 +265,9 @@
 				if inGroup[c.State] != tt.inGroup || tt.allowed != nil && !tt.allowed(c.State) {
 					t.Fatalf("placed at %s, in the group %v, backlog %.0f", c.Endpoint.ID, inGroup[c.State], c.State.peerBacklog.tokens)
 				}
+				if got := *c.Prompt; got.Placement != tt.placement || got.Group != endpoints/2 || (got.Backlog > 0) != (c.State.peerBacklog.tokens > 0) {
+					t.Fatalf("described as %+v, want %s", got, tt.placement)
+				}
 			}
 		})
 	}
@@ -294,3 +305,20 @@
 		}
 	}
 }
+
+func BenchmarkChooseLongPrompts(b *testing.B) {
+	for _, count := range []int{90, 140, 600} {
+		for name, mix := range map[string]*PromptMix{"alike": nil, "varied": newMix(0.3)} {
+			b.Run(fmt.Sprintf("endpoints-%d-%s", count, name), func(b *testing.B) {
+				random := rand.New(rand.NewPCG(1, 1))
+				q := newQuery(1000, Part{"sys", 500}, Part{"own", 600})
+				q.Arrivals, q.Prompts, q.FirstEventGoal = float64(count)/2, mix, 1500
+				list := newStates(count, 16)
+				b.ReportAllocs()
+				for b.Loop() {
+					Choose(list, q, random)
+				}
+			})
+		}
+	}
+}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -75,6 +75,9 @@
 	// PackedEndpoints is the number of endpoints that packed requests fill, or 0 if the
 	// request is not packed.
 	PackedEndpoints int
+	// Prompt says what the prompt's length decided, or is nil if the service's prompts are alike
+	// or the request is packed.
+	Prompt *PromptChoice
 	// KeptAway counts accepted endpoints that want no requests, and HeldOffUntil is when the
 	// first of them wants some again, or 0.
 	KeptAway     int
@@ -189,6 +192,7 @@
 		best.State, best.Reason, best.PackedEndpoints = packed, ReasonPacked, filled
 	} else {
 		q.chooseOption(&best, states, options, random)
+		best.Prompt = q.describePrompt(best.State, options)
 	}
 	best.Endpoint = best.State.Endpoint
 	return best
--- a/policy/placement/spread.go
+++ b/policy/placement/spread.go
@@ -33,6 +33,8 @@
 	// costPerArrival is what an arrival adds to the cost beside its utilization: the time to read
 	// its prompt, where prompts differ in length.
 	costPerArrival float64
+	// inGroup is true for an endpoint of the group for long prompts.
+	inGroup bool
 }
 
 // cost is the cost that is the same for all requests.
