policy/placement: The group for long prompts fades as its slots are taken

Load pattern: head-of-line blocking by slots. Where slots are scarcer than reading, as with long answers, a long prompt stayed in the group at endpoints without a free slot, and a short one outside it, while the other side had free ones. A wait for a slot takes much longer than the costs of 0.3 to 4 s that keep them apart.

The preferences now fade with the mean share of free slots on the side that they lead to, from 0.75 of the slots taken to all of them. A cost by the endpoint's own fullness was ruled out: it is a step that all instances take by one report.

Evidence: TestLongPromptPlacement without the rule: the long prompt is placed at e9, in the group, the short one at e11, outside it, both without a free slot. With it both leave. TestFleetLongPrompts: all 12 cases with the same figures as before, as slots are not scarce there.

--- a/policy/placement/backlog.go
+++ b/policy/placement/backlog.go
@@ -167,7 +167,7 @@
 	p.readingAt = now
 	return &PromptMix{
 		ShortRun: clock.Millis(p.shortRun.value), Short: p.short.value, Long: p.long.value, LongFrom: longRatio * p.mean.value,
-		LongShare: p.longShare.value, LongWork: p.longShare.value * p.long.value / p.mean.value, Reading: p.reading,
+		LongShare: p.longShare.value, LongWork: min(1, p.longShare.value*p.long.value/p.mean.value), Reading: p.reading,
 	}
 }
 
@@ -254,6 +254,28 @@
 	return q.Prompts != nil && q.RelativeCost*float64(Tokens(q.Parts)) >= q.Prompts.LongFrom
 }
 
+// slotRoom returns how far the endpoints of the group for long prompts, and the others, have free
+// slots: 1 below overloadUtilization on average, 0 if all are taken. Requests are not kept at
+// endpoints without a free slot while the others have some.
+func slotRoom(options []option, positions []float64, group float64) (inGroup, others float64) {
+	var sums, counts [2]float64
+	for i, o := range options {
+		side := 0
+		if positions[i] > group {
+			side = 1
+		}
+		sums[side] += min(1, o.utilization)
+		counts[side]++
+	}
+	room := func(side int) float64 {
+		if counts[side] == 0 {
+			return 0
+		}
+		return min(1, (1-sums[side]/counts[side])/(1-overloadUtilization))
+	}
+	return room(0), room(1)
+}
+
 // addBacklogCosts adds to the options what the prompts that they have to read cost the request and
 // others, in ms. Prompts that are alike cost nothing. It returns the number of arrivals among the
 // requests of the same kind, long or short, as the others choose other endpoints.
@@ -276,8 +298,10 @@
 	}
 	group := m.groupShare()
 	var positions []float64
+	groupRoom, otherRoom := 0.0, 0.0
 	if group > 0 {
 		positions = groupOrder(options)
+		groupRoom, otherRoom = slotRoom(options, positions, group)
 	}
 	allowed := goalShare * float64(q.FirstEventGoal)
 	for i := range options {
@@ -297,18 +321,20 @@
 		o.inGroup = position <= group
 		switch long := unread >= m.LongFrom; {
 		case long && o.inGroup:
-			o.fixedCost += longTime * max(0, 1-(group-position)/groupMargin)
-		case long && allowed > 0:
-			o.fixedCost += min(outsideCost*longTime, max(longTime, allowed))
+			o.fixedCost += groupRoom * longTime * max(0, 1-(group-position)/groupMargin)
 		case long:
-			o.fixedCost += outsideCost * longTime
+			cost := outsideCost * longTime
+			if allowed > 0 {
+				cost = min(cost, max(longTime, allowed))
+			}
+			o.fixedCost += groupRoom * cost
 		default:
 			// How much of its goal the delay would take says how far a request keeps away.
 			delay := groupCost * longTime
 			if allowed > 0 {
 				delay *= min(1, delay/allowed)
 			}
-			o.fixedCost += delay * min(1, max(0, 1-(position-group)/groupMargin))
+			o.fixedCost += otherRoom * delay * min(1, max(0, 1-(position-group)/groupMargin))
 		}
 	}
 	return q.Arrivals * share
--- a/policy/placement/backlog_test.go
+++ b/policy/placement/backlog_test.go
@@ -215,6 +215,24 @@
 				}
 			},
 		},
+		{
+			placement: PromptBeside,
+			name:      "a long prompt leaves a group without free slots", parts: []Part{{"own", longPrompt}}, goal: longGoal,
+			change: func(s *State, inGroup bool, _ float64) {
+				if inGroup {
+					s.SetPeerLoad(16, 0, 1000)
+				}
+			},
+		},
+		{
+			placement: PromptInGroup,
+			name:      "a short one uses the group if the others have no free slot", parts: []Part{{"own", shortPrompt}}, goal: goal, inGroup: true,
+			change: func(s *State, inGroup bool, _ float64) {
+				if !inGroup {
+					s.SetPeerLoad(16, 0, 1000)
+				}
+			},
+		},
 		{
 			placement: PromptBeside,
 			name:      "a short goal is kept at a fuller endpoint", parts: []Part{{"own", shortPrompt}}, goal: 500,
