--- a/policy/placement/backlog.go
+++ b/policy/placement/backlog.go
@@ -167,7 +167,7 @@
 	p.readingAt = now
 	return &PromptMix{
 		ShortRun: clock.Millis(p.shortRun.value), Short: p.short.value, Long: p.long.value, LongFrom: longRatio * p.mean.value,
-		LongShare: p.longShare.value, LongWork: p.longShare.value * p.long.value / p.mean.value, Reading: p.reading,
+		LongShare: p.longShare.value, LongWork: min(1, p.longShare.value*p.long.value/p.mean.value), Reading: p.reading,
 	}
 }
 
@@ -254,6 +254,28 @@
 	return q.Prompts != nil && q.RelativeCost*float64(Tokens(q.Parts)) >= q.Prompts.LongFrom
 }
 
+// slotRoom returns how far the endpoints of the group for long prompts, and the others, have free
+// slots: 1 below overloadUtilization on average, 0 if all are taken. Requests are not kept at
+// endpoints without a free slot while the others have some.
+func slotRoom(options []option, positions []float64, group float64) (inGroup, others float64) {
+	var sums, counts [2]float64
+	for i, o := range options {
+		side := 0
+		if positions[i] > group {
+			side = 1
+		}
+		sums[side] += min(1, o.utilization)
+		counts[side]++
+	}
+	room := func(side int) float64 {
+		if counts[side] == 0 {
+			return 0
+		}
+		return min(1, (1-sums[side]/counts[side])/(1-overloadUtilization))
+	}
+	return room(0), room(1)
+}
+
 // addBacklogCosts adds to the options what the prompts that they have to read cost the request and
 // others, in ms. Prompts that are alike cost nothing. It returns the number of arrivals among the
 // requests of the same kind, long or short, as the others choose other endpoints.
@@ -276,8 +298,10 @@
 	}
 	group := m.groupShare()
 	var positions []float64
+	groupRoom, otherRoom := 0.0, 0.0
 	if group > 0 {
 		positions = groupOrder(options)
+		groupRoom, otherRoom = slotRoom(options, positions, group)
 	}
 	allowed := goalShare * float64(q.FirstEventGoal)
 	for i := range options {
@@ -294,21 +318,70 @@
 			continue
 		}
 		longTime, position := m.Long/rate, positions[i]
+		o.inGroup = position <= group
 		switch long := unread >= m.LongFrom; {
-		case long && position <= group:
-			o.fixedCost += longTime * max(0, 1-(group-position)/groupMargin)
-		case long && allowed > 0:
-			o.fixedCost += min(outsideCost*longTime, max(longTime, allowed))
+		case long && o.inGroup:
+			o.fixedCost += groupRoom * longTime * max(0, 1-(group-position)/groupMargin)
 		case long:
-			o.fixedCost += outsideCost * longTime
+			cost := outsideCost * longTime
+			if allowed > 0 {
+				cost = min(cost, max(longTime, allowed))
+			}
+			o.fixedCost += groupRoom * cost
 		default:
 			// How much of its goal the delay would take says how far a request keeps away.
 			delay := groupCost * longTime
 			if allowed > 0 {
 				delay *= min(1, delay/allowed)
 			}
-			o.fixedCost += delay * min(1, max(0, 1-(position-group)/groupMargin))
+			o.fixedCost += otherRoom * delay * min(1, max(0, 1-(position-group)/groupMargin))
 		}
 	}
 	return q.Arrivals * share
 }
+
+// PromptChoice says what decided about a request of a service whose prompts differ in length.
+type PromptChoice struct {
+	// Long is true if the endpoint has a long prompt to read for the request.
+	Long bool
+	// Placement says where the request went.
+	Placement PromptPlacement
+	// Backlog is how long the endpoint takes to read the prompts before this one, as far as is known.
+	Backlog clock.Millis
+	// Group is the number of endpoints in the group for long prompts, of those that were considered.
+	Group int
+}
+
+// PromptPlacement says where a request went, seen from its prompt.
+type PromptPlacement string
+
+// Placements of requests.
+const (
+	// PromptInGroup means an endpoint of the group for long prompts.
+	PromptInGroup PromptPlacement = "group"
+	// PromptBeside means any other endpoint.
+	PromptBeside PromptPlacement = "beside"
+	// PromptLate means an endpoint where reading takes more than goalShare of the request's goal.
+	PromptLate PromptPlacement = "late"
+)
+
+// describePrompt returns what decided about the request's prompt, or nil if prompts are alike.
+func (q *Query) describePrompt(chosen *State, options []option) *PromptChoice {
+	if q.Prompts == nil {
+		return nil
+	}
+	rate, unread := q.readRate(chosen), q.unreadTokens(chosen)
+	backlog := (chosen.PrefillTokens + chosen.peerBacklogTokens(q.Now)) / rate
+	c := &PromptChoice{Long: unread >= q.Prompts.LongFrom, Placement: PromptBeside, Backlog: clock.Millis(backlog)}
+	for _, o := range options {
+		if o.inGroup {
+			if c.Group++; o.state == chosen {
+				c.Placement = PromptInGroup
+			}
+		}
+	}
+	if q.FirstEventGoal > 0 && backlog+unread/rate > goalShare*float64(q.FirstEventGoal) {
+		c.Placement = PromptLate
+	}
+	return c
+}
