--- a/entry/forward/place.go
+++ b/entry/forward/place.go
@@ -111,6 +111,7 @@
 		Parts:            t.request.PromptParts,
 		Model:            t.model,
 		RelativeCost:     t.relativeCost(),
+		FirstEventGoal:   t.route.FirstByteGoal,
 		CrossZoneBytes:   len(t.request.Body),
 		Accept:           accept,
 		Tried:            t.tried,
@@ -169,6 +170,7 @@
 				t.arm = c.arm
 				t.model = q.Model
 				t.countZone(choice)
+				t.countPrompt(choice.Prompt)
 				return choice
 			}
 			if refusal.Considered == 0 {
@@ -179,6 +181,22 @@
 	return refusal
 }
 
+// countPrompt counts and keeps what a prompt's length decided; nil means nothing.
+func (t *task) countPrompt(choice *placement.PromptChoice) {
+	if t.promptChoice = choice; choice == nil {
+		return
+	}
+	t.deps.Scope.Tagged(map[string]string{"prompt": promptLength(choice), "placement": string(choice.Placement)}).Counter("prompts_placed").Inc(1)
+}
+
+// promptLength returns the length of a placed prompt for logs and metrics.
+func promptLength(choice *placement.PromptChoice) string {
+	if choice.Long {
+		return "long"
+	}
+	return "short"
+}
+
 // fillsWithLargest reports whether the request runs on the largest model at once because it
 // fills an endpoint under light load: it keeps a slot busy for longer and is not run twice, so
 // that fewer requests are exposed to the new release.
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -40,7 +40,9 @@
 	model    ticket.ModelName
 	// homes is the number of endpoints that share the prompt's last shared part.
 	homes int
-	tried []*placement.State
+	// promptChoice says what the prompt's length decided about the last attempt, or is nil.
+	promptChoice *placement.PromptChoice
+	tried        []*placement.State
 	// onTrial is true if the request finds out whether a quarantined prompt part still
 	// crashes endpoints.
 	onTrial bool
@@ -156,9 +158,10 @@
 // attempt sends the request to one endpoint and reads the response headers.
 func (t *task) attempt(ctx context.Context, choice placement.Choice) (attempt.Outcome, *run) {
 	s := choice.State
+	promptTokens := t.relativeCost() * float64(placement.Tokens(t.request.PromptParts))
 	r := &run{
 		task: t, state: s, endpoint: choice.Endpoint, model: t.model, sentAt: t.clock.Mono(),
-		prefillTokens: t.relativeCost() * float64(placement.Tokens(t.request.PromptParts)), packedEndpoints: choice.PackedEndpoints,
+		prefillTokens: promptTokens, promptTokens: promptTokens, packedEndpoints: choice.PackedEndpoints,
 		packable: placement.Packable(t.request.PromptParts, t.relativeCost()),
 	}
 	t.lastEndpoint = r.endpoint
--- a/loadtest/experiment/fleet.go
+++ b/loadtest/experiment/fleet.go
@@ -82,6 +82,8 @@
 	FailureShare float64
 	// HideSpeed keeps the instances from learning how fast endpoints are.
 	HideSpeed bool
+	// Prompts configures long prompts beside short ones; nil means that prompts take no time.
+	Prompts *FleetPrompts
 }
 
 // LargeFleet returns a fleet of the given size with the load of Kylmäkiertö's largest
@@ -130,6 +132,10 @@
 	// RunTime is the sum of the times of all runs, and Excess that of what they took longer
 	// than at an endpoint of usual speed, in milliseconds.
 	RunTime, Excess float64
+	// ShortFirst and LongFirst are the times to the first event, in milliseconds.
+	ShortFirst, LongFirst *hdrhistogram.Histogram
+	// PrefillChanges counts the numbers of backlog that instances sent each other.
+	PrefillChanges int
 }
 
 // String formats the result as one line.
@@ -154,6 +160,11 @@
 	tried    []*placement.State
 	// homes is the number of endpoints that share the part.
 	homes int
+	// promptTokens is the number of tokens of the prompt, which may be long.
+	promptTokens int
+	long         bool
+	// readAt is when the prompt is read.
+	readAt clock.Millis
 }
 
 // fleetEndpoint is an endpoint with slots, a queue and a cache of prompt parts.
@@ -167,6 +178,11 @@
 	cached    map[placement.PartID]bool
 	peak      int
 	arrivals  []clock.Millis
+	// readUntil is when all prompts that the endpoint has taken are read.
+	readUntil clock.Millis
+	// longUntil and long are for long prompts, if short ones are read first.
+	longUntil clock.Millis
+	long      []*fleetRequest
 }
 
 // fleetInstance is an instance with what it knows of the endpoints.
@@ -174,6 +190,7 @@
 	zone   int
 	states []*placement.State
 	parts  placement.PartRates
+	sizes  placement.PromptSizes
 	// received is the list that a reader has of this member, others the list of all others
 	// that the instance has.
 	received, others loadlist.List
@@ -198,6 +215,11 @@
 	instances []*fleetInstance
 	zones     []*fleetZone
 	result    FleetResult
+	// ended counts the requests that have ended after reading a prompt, ranFor is their time.
+	ended  int
+	ranFor clock.Millis
+	// untilLong counts down the requests of which the one at nextLong has a long prompt.
+	untilLong, nextLong int
 }
 
 const (
@@ -224,7 +246,7 @@
 func fleetZoneName(i int) ticket.ZoneName { return ticket.ZoneName(fmt.Sprint("z", i)) }
 
 func newFleet(load FleetLoad) *fleet {
-	f := &fleet{load: load, random: rand.New(rand.NewPCG(load.Seed, 21)), byID: map[routing.EndpointID]int{}, result: FleetResult{Load: load, Wait: newHistogram()}}
+	f := &fleet{load: load, random: rand.New(rand.NewPCG(load.Seed, 21)), byID: map[routing.EndpointID]int{}, result: FleetResult{Load: load, Wait: newHistogram(), ShortFirst: newHistogram(), LongFirst: newHistogram()}}
 	for range load.Zones {
 		f.zones = append(f.zones, &fleetZone{received: make([]loadlist.List, load.Zones)})
 	}
@@ -260,6 +282,9 @@
 // RunFleet simulates a fleet and returns its result.
 func RunFleet(load FleetLoad) FleetResult {
 	f := newFleet(load)
+	if load.Prompts != nil {
+		f.warmUp()
+	}
 	f.scheduleArrivals()
 	for _, zone := range f.zones {
 		for k, member := range zone.members {
@@ -289,8 +314,12 @@
 // scheduleArrivals schedules all requests as a Poisson process.
 func (f *fleet) scheduleArrivals() {
 	rate := f.load.Utilization * float64(f.load.Endpoints*f.load.Slots) / float64(f.load.MeanRun)
+	if f.load.Prompts != nil {
+		rate = f.load.Prompts.rate(f.load)
+	}
 	for at := f.random.ExpFloat64() / rate; clock.Millis(at) < f.load.Duration; at += f.random.ExpFloat64() / rate {
 		r := &fleetRequest{instance: f.instances[f.random.IntN(len(f.instances))], arrived: clock.Millis(at)}
+		f.drawPrompt(r)
 		late := r.arrived >= f.load.Duration/2
 		r.part = placement.PartID(fmt.Sprint("part", f.random.IntN(f.load.Parts)))
 		if f.load.Scenario == FleetHotPart && late && f.random.Float64() < fleetHotShare {
@@ -301,76 +330,6 @@
 	}
 }
 
-func (f *fleet) scheduleExchanges(first clock.Millis, exchange func()) {
-	var step func()
-	step = func() {
-		exchange()
-		if f.now < f.load.Duration {
-			f.schedule(f.now+fleetExchange, step)
-		}
-	}
-	f.schedule(first, step)
-}
-
-// own returns an instance's own loads.
-func (f *fleet) own(instance *fleetInstance) loadlist.Loads {
-	loads := loadlist.NewLoads()
-	for _, s := range instance.states {
-		if s.OwnInFlight > 0 {
-			loads.InFlight[s.Endpoint.ID] = s.OwnInFlight
-		}
-		if n := s.AdvertisedFailures(f.now); n > 0 {
-			loads.Failures[s.Endpoint.ID] = n
-		}
-	}
-	return loads
-}
-
-// zoneSum returns the loads of a zone as its reader knows them.
-func (f *fleet) zoneSum(zone *fleetZone, except *fleetInstance) loadlist.Loads {
-	sum := loadlist.NewLoads()
-	for k, member := range zone.members {
-		switch {
-		case member == except:
-		case k == 0:
-			sum.Add(f.own(member))
-		default:
-			sum.Add(member.received.Loads)
-		}
-	}
-	return sum
-}
-
-// exchange is one exchange of an instance: a member with its zone's reader, a reader with the
-// readers of all other zones.
-func (f *fleet) exchange(zone *fleetZone, instance *fleetInstance, reader bool) {
-	update := func(list *loadlist.List, loads loadlist.Loads) {
-		list.Apply(list.Diff(loads))
-		list.Version++
-	}
-	if reader {
-		for z, other := range f.zones {
-			if other != zone {
-				update(&other.received[slices.Index(f.zones, zone)], f.zoneSum(zone, nil))
-				update(&zone.received[z], f.zoneSum(other, nil))
-			}
-		}
-	} else {
-		update(&instance.received, f.own(instance))
-	}
-	others := f.zoneSum(zone, instance)
-	for _, list := range zone.received {
-		others.Add(list.Loads)
-	}
-	if !reader {
-		update(&instance.others, others)
-		others = instance.others.Loads
-	}
-	for _, s := range instance.states {
-		s.SetPeerLoad(others.InFlight[s.Endpoint.ID], others.Failures[s.Endpoint.ID], f.now)
-	}
-}
-
 // send chooses an endpoint for a request and sends it there.
 func (f *fleet) send(r *fleetRequest) {
 	q := &placement.Query{
@@ -381,8 +340,9 @@
 	if f.load.PartTokens > 0 {
 		q.Parts = []placement.Part{{ID: r.part, Tokens: f.load.PartTokens}, {ID: "own", Tokens: f.load.PartTokens}}
 	}
+	f.setPrompt(q, r)
 	if f.load.Policy == FleetSpread {
-		q.Arrivals = placement.StaleArrivals(r.instance.states, f.load.MeanRun, f.load.Instances, f.now)
+		q.Arrivals = placement.StaleArrivals(r.instance.states, f.meanRun(), f.load.Instances, f.now)
 		if len(r.tried) == 0 {
 			r.homes = r.instance.parts.Homes(q.Parts, f.load.Slots, f.load.Instances, f.now)
 		}
@@ -397,6 +357,7 @@
 		return
 	}
 	r.state = choice.State
+	r.instance.sizes.Add(float64(r.promptTokens))
 	f.arrive(f.endpoints[f.byID[choice.Endpoint.ID]], r)
 }
 
@@ -444,6 +405,10 @@
 func (f *fleet) run(e *fleetEndpoint, r *fleetRequest) {
 	f.advanceSpeed(&e.speed)
 	e.running++
+	if f.load.Prompts != nil {
+		f.read(e, r)
+		return
+	}
 	_ = f.result.Wait.RecordValue(int64(f.now - r.arrived))
 	r.state.PrefillTokens = 0
 	r.state.SetReportedLoad(f.loadOf(e), f.now)
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -45,14 +45,16 @@
 	// Arrivals is the number of requests that other instances are expected to have sent to
 	// the service's endpoints since the loads were told, or 0 if the loads are exact.
 	Arrivals float64
-	// MeanPrompt is the mean number of weighted prompt tokens of the service's requests, or 0 if
-	// its prompts are alike. The backlog that other instances report then is no part of the cost.
-	MeanPrompt float64
 	// ZoneArrivals is the same by the zone of the instances; a zone that is missing is not known.
 	// If it is nil, a request prefers no zone over others beyond the cost of the crossing.
 	ZoneArrivals map[ticket.ZoneName]float64
 	// ZoneHomes is true if each zone has homes for prompt parts, for requests that prefer their zone.
 	ZoneHomes bool
+	// Prompts describes the service's prompts, or is nil if they are alike. The backlog that other
+	// instances report then is no part of the cost.
+	Prompts *PromptMix
+	// FirstEventGoal is the time up to which the first event of the response is in time, or 0.
+	FirstEventGoal clock.Millis
 	// Homes is the number of endpoints that share the prompt's last shared part; 0 means one.
 	Homes int
 	// ReadRate is the number of prompt tokens that the slowest model reads in a millisecond, and
@@ -90,6 +92,9 @@
 	// PackedEndpoints is the number of endpoints that packed requests fill, or 0 if the
 	// request is not packed.
 	PackedEndpoints int
+	// Prompt says what the prompt's length decided, or is nil if the service's prompts are alike
+	// or the request is packed.
+	Prompt *PromptChoice
 	// KeptAway counts accepted endpoints that want no requests, and HeldOffUntil is when the
 	// first of them wants some again, or 0.
 	KeptAway     int
@@ -210,6 +215,7 @@
 		best.State, best.Reason, best.PackedEndpoints = packed, ReasonPacked, filled
 	} else {
 		q.chooseOption(&best, states, options, random)
+		best.Prompt = q.describePrompt(best.State, options)
 	}
 	best.Endpoint = best.State.Endpoint
 	return best
@@ -224,7 +230,8 @@
 			best.State, best.Cost, best.Reason = o.state, cost, reasonFor(o.state, home, len(q.Parts))
 		}
 	}
-	if q.Arrivals <= 0 {
+	arrivals := q.addBacklogCosts(options)
+	if arrivals <= 0 {
 		q.scope = ""
 		home = q.homeEndpoint(states, random)
 		for _, o := range options {
@@ -232,7 +239,7 @@
 		}
 		return
 	}
-	drawable, rooms, level := q.spread(options, random)
+	drawable, rooms, level := q.spread(options, arrivals, random)
 	home = q.homeEndpoint(states, random)
 	for range spreadDraws {
 		consider(drawByRoom(drawable, rooms, random), level)
@@ -359,9 +366,8 @@
 
 // newOption returns an endpoint with the costs that are the same for all requests.
 func (q *Query) newOption(s *State) option {
-	o := option{state: s, utilization: s.Utilization(q.Now), costPerArrival: q.MeanPrompt / q.readRate(s)}
-	o.fixedCost = q.peerBacklogTime(s) + q.crossingCost(s)
-	o.fixedCost += failureCost*s.ExcessFailureRate + q.slownessCost(s, o.utilization)
+	o := option{state: s, utilization: s.Utilization(q.Now)}
+	o.fixedCost = q.crossingCost(s) + failureCost*s.ExcessFailureRate + q.slownessCost(s, o.utilization)
 	if s.LatencyRatio.Count > 2 && s.LatencyRatio.Mean > 1 {
 		o.fixedCost += latencyCost * (s.LatencyRatio.Mean - 1)
 	}
