--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -283,7 +283,7 @@
 		return ReasonHeldOff
 	case s.InBackoff(q.Now), q.ZoneUnreachable != nil && q.ZoneUnreachable(s.Endpoint.Zone):
 		return routing.ReasonDown
-	case s.failedContacts > 0 && !q.AllowUnconfirmed:
+	case s.Unconfirmed() && !q.AllowUnconfirmed:
 		return routing.ReasonDown
 	case s.Fullness(q.Now) >= q.MaxUtilization:
 		return routing.ReasonFull
@@ -374,7 +374,7 @@
 	if s.Cold(q.Now) {
 		o.fixedCost += coldCost
 	}
-	if s.failedContacts > 0 {
+	if s.Unconfirmed() {
 		o.fixedCost += unconfirmedCost
 	}
 	return o
--- a/policy/placement/state.go
+++ b/policy/placement/state.go
@@ -161,6 +161,16 @@
 	return !wasLeaving
 }
 
+// Leaving reports whether the endpoint said that it will end soon.
+func (s *State) Leaving() bool {
+	return s.leaving
+}
+
+// Unconfirmed reports whether the endpoint was unreachable and has not responded since.
+func (s *State) Unconfirmed() bool {
+	return s.failedContacts > 0
+}
+
 // HoldOff records that the endpoint wants no requests until then. It reports whether the
 // endpoint was not held off before.
 func (s *State) HoldOff(until, now clock.Millis) bool {
@@ -195,7 +205,7 @@
 // MarkReachable records that the endpoint responded and ends its backoff. It reports
 // whether the endpoint had been unreachable.
 func (s *State) MarkReachable(now clock.Millis) bool {
-	wasUnreachable := s.failedContacts > 0
+	wasUnreachable := s.Unconfirmed()
 	s.LastReceived = now
 	s.failedContacts = 0
 	s.backoffUntil = 0
--- a/policy/placement/zones.go
+++ b/policy/placement/zones.go
@@ -9,16 +9,6 @@
 	"foxtailbridge/policy/ticket"
 )
 
-// Leaving reports whether the endpoint said that it will end soon.
-func (s *State) Leaving() bool {
-	return s.leaving
-}
-
-// Unconfirmed reports whether the endpoint was unreachable and has not responded since.
-func (s *State) Unconfirmed() bool {
-	return s.failedContacts > 0
-}
-
 // minZoneEndpoints is the number of endpoints with room from which a zone's requests prefer it. With
 // fewer, one that fails or reads a long prompt changes the zone's load by more than the crossing
 // costs, and the requests do better on all zones' endpoints.
