policy/attempt: A failure after the run is not passed on as a refusal

Cause: an error response that doesn't declare that the request has not run was counted as a run and then passed on whatever its status. 408, 421, 429 and 503 mean nothing by themselves from an endpoint, and are a guarantee to callers.

Ruled out: a refusal of the instance's own, as the answers bear the endpoint's stamp; a second run by the instance, as each id ran once.

attempt.Next knows now whether a status claims that the request has not run, and never returns such a response if it may have: it is retried if that is allowed, else the caller gets 502, which guarantees nothing. TestNext checks it over all combinations of inputs. This holds for all statuses of that meaning and for requests that may be repeated too.

--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -72,6 +72,40 @@
 	}
 }
 
+// TestUndeclaredRefusalIsNotPassedOn guards against callers that repeat a request which has run:
+// an endpoint that fails after it began to run a request may use a status that callers take as a
+// guarantee that it has not run.
+func TestUndeclaredRefusalIsNotPassedOn(t *testing.T) {
+	rows := []struct {
+		name     string
+		path     string
+		statuses []int
+		want     int
+		sends    int
+	}{
+		{"at most once, 408", "/once/x", []int{408}, 502, 1},
+		{"at most once, 429", "/once/x", []int{429}, 502, 1},
+		{"at most once, 503", "/once/x", []int{503}, 502, 1},
+		{"retryable, served by the second endpoint", "/safe/x", []int{503, 200}, 200, 2},
+		{"retryable, attempts are used up", "/safe/x", []int{503, 429}, 502, 2},
+		{"retryable, the second endpoint fails with another status", "/safe/x", []int{503, 500}, 500, 2},
+		{"resumable stream, served by the second endpoint", "/note/x", []int{503, 200}, 200, 2},
+		{"resumable stream, attempts are used up", "/note/x", []int{503, 408, 429}, 502, 3},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness()
+				h.respond = func(n int, _ *Attempt) (*Response, error) { return plainResponse(row.statuses[n-1]), nil }
+				c := h.serve(t.Context(), row.path, nil)
+				if c.Status != row.want || len(h.sent) != row.sends || c.LocalReply != (row.want == http.StatusBadGateway) {
+					t.Errorf("status %d, sends %d, local reply %v; want %d, %d", c.Status, len(h.sent), c.LocalReply, row.want, row.sends)
+				}
+			})
+		})
+	}
+}
+
 func TestAdmit(t *testing.T) {
 	rows := []struct {
 		name   string
--- a/entry/forward/task.go
+++ b/entry/forward/task.go
@@ -193,6 +193,7 @@
 		}
 	case response.Status >= http.StatusBadRequest, t.headSent && response.Next == nil: // A stream cannot resume as a plain response.
 		outcome.Result = attempt.ResultFailed
+		outcome.ClaimsNotRun = claimsNotRun(response.Status)
 		t.countRun()
 		r.recordOutcome(response.Status >= http.StatusInternalServerError)
 		outcome.EndpointSuspect = t.endpoints.FailureInconclusive(s, t.route.Name)
@@ -253,12 +254,25 @@
 	case attempt.StepAbort:
 		return t.abort(), true
 	}
+	if outcome.ClaimsNotRun {
+		t.logger.Info("status-withheld", "request", t.request.ID, "endpoint", r.endpoint.ID, "status", r.response.Status, "runs", t.runs)
+	}
 	if t.outOfTime() {
 		return localReply(http.StatusGatewayTimeout, ReasonDeadlinePassed, 0), true
 	}
 	return localReply(http.StatusBadGateway, ReasonOutcomeUnknown, 0), true
 }
 
+// claimsNotRun reports whether callers take a response with this status as a guarantee that the
+// request has not run and never will.
+func claimsNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // minAttemptTime is the least time before the deadline at which an attempt may
 // start.
 const minAttemptTime = 20 * clock.Millis(1)
--- a/policy/attempt/attempt.go
+++ b/policy/attempt/attempt.go
@@ -69,6 +69,9 @@
 	// RetryAllowed is true if the attempt limit, the deadline and the retry
 	// budget allow another attempt.
 	RetryAllowed bool
+	// ClaimsNotRun is true if callers take the response's status as a guarantee that the request
+	// has not run.
+	ClaimsNotRun bool
 	// EndpointSuspect is true if the endpoint fails more often than its peers, so
 	// that a failure there is probably not caused by the request.
 	EndpointSuspect bool
@@ -97,7 +100,7 @@
 		return StepRefuse
 	case !o.MayHaveRun():
 		return StepFail
-	case o.Result == ResultFailed && !(o.EndpointSuspect && o.Idempotent && o.RetryAllowed):
+	case o.Result == ResultFailed && !o.ClaimsNotRun && !(o.EndpointSuspect && o.Idempotent && o.RetryAllowed):
 		return StepReturnFailure
 	case o.Idempotent && o.RetryAllowed:
 		return StepRetry
--- a/policy/attempt/attempt_test.go
+++ b/policy/attempt/attempt_test.go
@@ -28,6 +28,9 @@
 		{"not idempotent, timeout", nonIdempotent, func(o *Outcome) { o.Result, o.RetryAllowed = ResultTimeout, true }, StepFail},
 		{"not idempotent, failed", nonIdempotent, func(o *Outcome) { o.Result, o.RetryAllowed = ResultFailed, true }, StepReturnFailure},
 		{"not idempotent, failed at a suspect endpoint", nonIdempotent, func(o *Outcome) { o.Result, o.RetryAllowed, o.EndpointSuspect = ResultFailed, true, true }, StepReturnFailure},
+		{"not idempotent, failed, claims not to have run", nonIdempotent, func(o *Outcome) { o.Result, o.RetryAllowed, o.ClaimsNotRun = ResultFailed, true, true }, StepFail},
+		{"idempotent, failed, claims not to have run", idempotent, func(o *Outcome) { o.Result, o.ClaimsNotRun = ResultFailed, true }, StepRetry},
+		{"idempotent, failed, claims not to have run, no retry allowed", idempotent, func(o *Outcome) { o.Result, o.ClaimsNotRun, o.RetryAllowed = ResultFailed, true, false }, StepFail},
 		{"idempotent, broken response", idempotent, func(o *Outcome) { o.Result = ResultBroken }, StepRetry},
 		{"idempotent, timeout", idempotent, func(o *Outcome) { o.Result = ResultTimeout }, StepRetry},
 		{"idempotent, failed", idempotent, func(o *Outcome) { o.Result = ResultFailed }, StepReturnFailure},
@@ -50,18 +53,22 @@
 			SoMsg(test.name, Next(outcome), ShouldEqual, test.want)
 		}
 	})
-	Convey("Refuse only if nothing ran, run again only if idempotent, abort or resume once started", t, func() {
+	Convey("Refuse or claim so only if nothing ran, run again only if idempotent, abort or resume once started", t, func() {
 		for _, sent := range []Sent{SentNothing, SentSome} {
 			for _, result := range []Result{ResultAnswered, ResultFailed, ResultNotRun, ResultBroken, ResultTimeout, ResultLowConfidence} {
-				for mask := range 64 {
+				for mask := range 128 {
 					o := Outcome{
 						Sent: sent, Result: result, Idempotent: mask&1 > 0, Resumable: mask&2 > 0,
 						ResponseStarted: mask&4 > 0, EarlierMayHaveRun: mask&8 > 0, RetryAllowed: mask&16 > 0, EndpointSuspect: mask&32 > 0,
+						ClaimsNotRun: mask&64 > 0,
 					}
 					step := Next(o)
 					if step == StepRefuse {
 						So(o.EarlierMayHaveRun || o.ResponseStarted || o.MayHaveRun(), ShouldBeFalse)
 					}
+					if step == StepReturnFailure {
+						So(o.ClaimsNotRun, ShouldBeFalse)
+					}
 					if (step == StepRetry || step == StepEscalate) && o.MayHaveRun() {
 						So(o.Idempotent, ShouldBeTrue)
 					}
