standin/engine: Each request needs a connection of its own

TestColdStartLimitUnderFailures failed under the race detector (cold_test.go:79, reported by the users): three requests at a cold endpoint that bears two.

Cause: a race of the stand-in's client, not of the program. Its clients shared one mark of the process they were connected to. A request without a permit set the mark before it saw that the engine is cold, and took it back after; one with a permit left it set. Another request that had been sent to the engine while it was warm passed by that mark to the cold one. In the program each request has a connection, and each new connection reads the load report before it carries a request.

The checks are unchanged.

Ruled out: the lease and the permits (the request had none); a crash between the check and the admission, which the stand-in also allowed and no longer does, was not what failed.

--- a/standin/engine/client.go
+++ b/standin/engine/client.go
@@ -13,18 +13,20 @@
 	"foxtailbridge/policy/gate"
 )
 
-// directClient calls the engine in process and follows the same rule as endpoint.New:
-// after a restart of the engine it reads the load report before it sends a request.
+// directClient calls the engine in process and follows the same rule as endpoint.New: a request
+// needs a connection of its own, and each new connection reads the load report first.
 type directClient struct {
 	engine  *Engine
 	observe func(*endpoint.Load)
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// idle is the number of idle connections to the process with the given boot ID.
+	idle int
 	boot gate.BootID
 }
 
-// Client returns a client that calls the engine in process. It calls observe with the
-// load report that it reads when it first connects and after each restart.
+// Client returns a client that calls the engine in process. It calls observe with the load report
+// that it reads over each new connection.
 func (e *Engine) Client(observe func(*endpoint.Load)) *endpoint.Endpoint {
 	d := &directClient{engine: e, observe: observe}
 	return &endpoint.Endpoint{
@@ -40,15 +42,19 @@
 }
 
 func (d *directClient) stream(ctx context.Context, attempt *endpoint.Attempt, request *endpoint.StreamRequest, emit func(string) error) (*endpoint.StreamResult, error) {
-	if err := d.connect(attempt); err != nil {
+	boot, err := d.connect(attempt)
+	if err != nil {
 		return nil, err
 	}
 	j, err := parseJob(attempt, request)
 	if err != nil {
 		return nil, fault.New("stream", endpoint.KindFailed, "%w", err)
 	}
-	s, err := d.engine.admit(j)
-	if err != nil {
+	s, err := d.engine.admit(j, boot)
+	switch {
+	case errors.Is(err, errCrashed):
+		return nil, fault.New("stream", endpoint.KindBroken, "%w", err)
+	case err != nil:
 		return nil, fault.New("stream", endpoint.KindRefused, "%w", err)
 	}
 	if s.mismatch {
@@ -58,6 +64,7 @@
 	end, err := d.engine.run(ctx, j, s, emit)
 	switch {
 	case err == nil:
+		d.release(boot)
 		return end, nil
 	case errors.Is(err, errTruncated):
 		return nil, fault.New("stream", endpoint.KindIncomplete, "%w", err)
@@ -71,23 +78,42 @@
 	return nil, fault.New("stream", endpoint.KindBroken, "%w", err)
 }
 
-func (d *directClient) connect(attempt *endpoint.Attempt) error {
+// connect takes an idle connection or makes a new one, and returns the boot ID of the process at
+// its other end.
+func (d *directClient) connect(attempt *endpoint.Attempt) (gate.BootID, error) {
 	load := d.engine.Load()
-	d.mu.Lock()
-	rebooted := d.boot != load.Boot
-	d.boot = load.Boot
-	d.mu.Unlock()
-	if !rebooted {
-		return nil
+	if d.takeIdle(load.Boot) {
+		return load.Boot, nil
 	}
 	d.observe(load)
 	if load.Phase != endpoint.PhaseWarm && !attempt.AllowCold {
-		d.mu.Lock()
-		d.boot = ""
-		d.mu.Unlock()
-		return fault.New("dial", endpoint.KindNotSent, "endpoint is %s", load.Phase)
+		return "", fault.New("dial", endpoint.KindNotSent, "endpoint is %s", load.Phase)
+	}
+	return load.Boot, nil
+}
+
+// takeIdle takes an idle connection to the process with the boot ID, if there is one. A restart has
+// closed the others.
+func (d *directClient) takeIdle(boot gate.BootID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.boot != boot {
+		d.idle, d.boot = 0, boot
+	}
+	if d.idle == 0 {
+		return false
+	}
+	d.idle--
+	return true
+}
+
+// release makes a connection idle.
+func (d *directClient) release(boot gate.BootID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.boot == boot {
+		d.idle++
 	}
-	return nil
 }
 
 func parseJob(attempt *endpoint.Attempt, request *endpoint.StreamRequest) (*job, error) {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -267,10 +267,18 @@
 	prefixCached bool
 }
 
+// anyBoot admits a request whose connection ends with the process that it was made to.
+const anyBoot gate.BootID = ""
+
 // admit adds a request to the in-flight requests. The engine crashes if that exceeds
-// ColdLimit in cold start, or if the request contains the CrashOn text.
-func (e *Engine) admit(j *job) (*admission, error) {
+// ColdLimit in cold start, or if the request contains the CrashOn text. A request on a connection to
+// an earlier boot gets errCrashed.
+func (e *Engine) admit(j *job, boot gate.BootID) (*admission, error) {
 	e.mu.Lock()
+	if boot != anyBoot && boot != e.boot {
+		e.mu.Unlock()
+		return nil, errCrashed
+	}
 	s := &admission{crashed: e.crashed, faults: e.faults, warm: !e.cold}
 	if e.faults.RefuseNext > 0 {
 		e.faults.RefuseNext--
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -64,7 +64,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s, err := e.admit(j)
+	s, err := e.admit(j, anyBoot)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
