--- a/entry/registry/expiry_test.go
+++ b/entry/registry/expiry_test.go
@@ -297,6 +297,24 @@
 	}
 }
 
+// play plays a drawn event that writes nothing, in a fleet of three. maxSleep is in tenths of a second.
+func (f *fleet) play(t *rapid.T, event string, instance, maxSleep int) {
+	switch event {
+	case "read":
+		f.read(instance)
+	case "list":
+		f.list(instance)
+	case "send":
+		f.send(instance, (instance+rapid.IntRange(1, 2).Draw(t, "to"))%3)
+	case "sleep":
+		f.sleep(clock.Millis(rapid.IntRange(1, maxSleep).Draw(t, "sleep") * 100))
+	case "restart":
+		f.instances[instance] = newFixtureAt(f.instances[instance].now)
+	default:
+		t.Fatalf("unknown event %q", event)
+	}
+}
+
 // TestInstancesAgreeWithStore checks that all instances end with the store's endpoints, whatever
 // the order of outages, restarts, reads and exchanges between them.
 func TestInstancesAgreeWithStore(t *testing.T) {
@@ -306,22 +324,14 @@
 		for range rapid.IntRange(1, 40).Draw(t, "events") {
 			instance := rapid.IntRange(0, 2).Draw(t, "instance")
 			id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "endpoint")
-			switch rapid.SampledFrom([]string{"beat", "remove", "read", "list", "send", "send", "sleep", "restart"}).Draw(t, "event") {
+			switch event := rapid.SampledFrom([]string{"beat", "remove", "read", "list", "send", "send", "sleep", "restart"}).Draw(t, "event"); event {
 			case "beat":
 				sequences[id]++
 				f.write(id, "1 "+strconv.Itoa(sequences[id])+" ready")
 			case "remove":
 				f.write(id, "")
-			case "read":
-				f.read(instance)
-			case "list":
-				f.list(instance)
-			case "send":
-				f.send(instance, (instance+rapid.IntRange(1, 2).Draw(t, "to"))%3)
-			case "sleep":
-				f.sleep(clock.Millis(rapid.IntRange(1, 30).Draw(t, "sleep") * 100))
-			case "restart":
-				f.instances[instance] = newFixtureAt(f.instances[instance].now)
+			default:
+				f.play(t, event, instance, 30)
 			}
 		}
 		f.settle()
--- a/entry/registry/removals_test.go
+++ b/entry/registry/removals_test.go
@@ -148,7 +148,7 @@
 		for range rapid.IntRange(1, 40).Draw(t, "events") {
 			instance := rapid.IntRange(1, 2).Draw(t, "instance")
 			id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "endpoint")
-			switch rapid.SampledFrom([]string{"beat", "beat", "late", "remove", "read", "list", "send", "send", "sleep", "restart"}).Draw(t, "event") {
+			switch event := rapid.SampledFrom([]string{"beat", "beat", "late", "remove", "read", "list", "send", "send", "sleep", "restart"}).Draw(t, "event"); event {
 			case "beat":
 				sequences[id]++
 				f.write(id, "1 "+strconv.Itoa(sequences[id])+" ready")
@@ -162,16 +162,8 @@
 			case "remove":
 				f.write(id, "")
 				removed[id], alive[id] = sequences[id], false
-			case "read":
-				f.read(instance)
-			case "list":
-				f.list(instance)
-			case "send":
-				f.send(instance, (instance+rapid.IntRange(1, 2).Draw(t, "to"))%3)
-			case "sleep":
-				f.sleep(clock.Millis(rapid.IntRange(1, 8).Draw(t, "sleep") * 100))
-			case "restart":
-				f.instances[instance] = newFixtureAt(f.instances[instance].now)
+			default:
+				f.play(t, event, instance, 8)
 			}
 			f.read(0)
 		}
