entry/registry: One order of heartbeats, one update, removals forgotten once a batch

The removal is looked up once. - Merge, MergeRemovals, MergeOrderStarts and RemoveExpired repeated lock, rebuild and OnChange; update does it for all four. - Removals past their minute were looked for at each removal of an endpoint, which is quadratic when a release removes many at once. It is done once a merged batch.

A removal was kept beyond its minute until the next one came; it now goes with the next batch, as documented. Otherwise no change of behaviour. The tests are unchanged.

--- a/entry/registry/order_starts.go
+++ b/entry/registry/order_starts.go
@@ -31,23 +31,16 @@
 // MergeOrderStarts merges the order starts known to another instance and reports whether any of
 // them replaced a later one known here.
 func (r *Registry) MergeOrderStarts(starts []OrderStart, source string) bool {
-	r.mu.Lock()
-	now := r.clock.Mono()
-	changed := false
-	for _, start := range starts {
-		e := r.entries[recordID{FeedOrders, start.Key}]
-		if e != nil && e.record.Offset == start.Offset {
-			changed = r.adoptEarlierStart(e, now-start.Age, source) || changed
+	return r.update(FeedOrders, func(now clock.Millis) bool {
+		changed := false
+		for _, start := range starts {
+			e := r.entries[recordID{FeedOrders, start.Key}]
+			if e != nil && e.record.Offset == start.Offset {
+				changed = r.adoptEarlierStart(e, now-start.Age, source) || changed
+			}
 		}
-	}
-	if changed {
-		r.rebuild()
-	}
-	r.mu.Unlock()
-	if changed {
-		r.OnChange([]Feed{FeedOrders})
-	}
-	return changed
+		return changed
+	})
 }
 
 // adoptEarlierStart moves an order's start back to the given time if that is earlier. Transit time
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -170,20 +170,25 @@
 // Merge merges a batch and reports whether the view changed.
 func (r *Registry) Merge(b Batch) bool {
 	b.Age = max(0, b.Age) // Otherwise the view would look confirmed for some time to come.
+	return r.update(b.Feed, func(now clock.Millis) bool { return r.merge(&b, now) })
+}
+
+// update applies a change under the lock, given the monotonic time. If apply reports that the view
+// changed, it rebuilds the view and calls OnChange with the feed.
+func (r *Registry) update(feed Feed, apply func(now clock.Millis) bool) bool {
 	r.mu.Lock()
-	changed := r.merge(&b)
+	changed := apply(r.clock.Mono())
 	if changed {
 		r.rebuild()
 	}
 	r.mu.Unlock()
 	if changed {
-		r.OnChange([]Feed{b.Feed})
+		r.OnChange([]Feed{feed})
 	}
 	return changed
 }
 
-func (r *Registry) merge(b *Batch) bool {
-	now := r.clock.Mono()
+func (r *Registry) merge(b *Batch, now clock.Millis) bool {
 	changed := false
 	for i := range b.Records {
 		changed = r.mergeRecord(&b.Records[i], b, now) || changed
@@ -200,6 +205,7 @@
 	if !known || b.Head > head {
 		r.heads[b.Feed] = b.Head
 		if b.Feed == FeedEndpoints {
+			r.forgetRemovals(now)
 			changed = r.removeSuperseded(now, b.Source) || changed
 		}
 	}
@@ -286,18 +292,18 @@
 	if e == nil {
 		return false
 	}
-	if r.isSuperseded(key.key, e) {
+	next.sequence = e.Sequence
+	if m := r.removals[key.key]; m != nil && m.supersedes(next.heartbeat()) {
 		r.logger.Warn("beat-is-late", "endpoint", key.key, "born", e.StartedAt, "sequence", e.Sequence, "offset", next.record.Offset,
-			"removed-sequence", r.removals[key.key].Sequence, "removed-ms", int64(now-r.removals[key.key].firstSeen))
+			"removed-sequence", m.Sequence, "removed-ms", int64(now-m.firstSeen))
 		return false
 	}
 	if old != nil && old.object.Endpoint != nil {
-		o := old.object.Endpoint
-		if e.StartedAt < o.StartedAt || e.StartedAt == o.StartedAt && e.Sequence < old.sequence {
+		if next.heartbeat().compare(old.heartbeat()) < 0 {
 			r.logger.Warn("beat-is-old", "endpoint", key.key, "born", e.StartedAt, "sequence", e.Sequence, "known-sequence", old.sequence)
 			return false
 		}
-		if !old.record.Deleted && sameExceptWarmup(o, e) {
+		if !old.record.Deleted && sameExceptWarmup(old.object.Endpoint, e) {
 			old.sequence = e.Sequence
 			if compacted {
 				// The endpoint may have been removed and come back since the first heartbeat.
@@ -306,7 +312,6 @@
 			return false
 		}
 	}
-	next.sequence = e.Sequence
 	r.entries[key] = next
 	r.logger.Info("endpoint-changed", "endpoint", e.ID, "service", e.Service, "zone", e.Zone, "release", e.Release,
 		"leaving", e.Draining, "cold-ms", int64(e.ColdFor), "born", int64(e.StartedAt), "sequence", e.Sequence, "offset", next.record.Offset, "age-ms", int64(now-next.firstSeen))
@@ -319,7 +324,6 @@
 func (r *Registry) deleteEndpoint(key recordID, old, next *entry, now clock.Millis) bool {
 	sinceRecovery, age := now-r.recoveredAt, r.age(FeedEndpoints)
 	if old != nil && old.object.Endpoint != nil {
-		r.forgetRemovals(now)
 		r.noteRemoval(Removal{Key: key.key, Offset: next.record.Offset, StartedAt: old.object.Endpoint.StartedAt, Sequence: old.sequence}, now)
 	}
 	switch {
@@ -385,30 +389,24 @@
 // RemoveExpired removes endpoints whose entries expired during a store outage and that did
 // not write new ones within the grace period after the recovery.
 func (r *Registry) RemoveExpired() {
-	r.mu.Lock()
-	now := r.clock.Mono()
-	changed := false
-	for _, e := range r.entries {
-		if !e.expired {
-			continue
-		}
-		since := e.firstSeen
-		if r.recoveredAt > since-r.opts.expiryGrace {
-			since = r.recoveredAt // Endpoints write new entries as soon as they reach the store.
-		}
-		if r.age(FeedEndpoints) > r.opts.unavailableAfter || now-since < r.opts.expiryGrace {
-			continue
+	r.update(FeedEndpoints, func(now clock.Millis) bool {
+		changed := false
+		for _, e := range r.entries {
+			if !e.expired {
+				continue
+			}
+			since := e.firstSeen
+			if r.recoveredAt > since-r.opts.expiryGrace {
+				since = r.recoveredAt // Endpoints write new entries as soon as they reach the store.
+			}
+			if r.age(FeedEndpoints) > r.opts.unavailableAfter || now-since < r.opts.expiryGrace {
+				continue
+			}
+			r.removeEndpoint(e)
+			changed = true
 		}
-		r.removeEndpoint(e)
-		changed = true
-	}
-	if changed {
-		r.rebuild()
-	}
-	r.mu.Unlock()
-	if changed {
-		r.OnChange([]Feed{FeedEndpoints})
-	}
+		return changed
+	})
 }
 
 // Since returns the records that another instance with the given heads and configuration lacks,
--- a/entry/registry/removals.go
+++ b/entry/registry/removals.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 
-	"foxtailbridge/policy/catalog"
 	"foxtailbridge/policy/clock"
 )
 
@@ -38,15 +37,30 @@
 	maxRemovals = 8192
 )
 
-// supersedes reports whether the endpoint's heartbeat is older than the removal.
-func (m *Removal) supersedes(startedAt clock.Millis, sequence int64) bool {
-	return cmp.Or(cmp.Compare(startedAt, m.StartedAt), cmp.Compare(sequence, m.Sequence)) <= 0
+// heartbeat identifies a heartbeat of an endpoint.
+type heartbeat struct {
+	startedAt clock.Millis
+	sequence  int64
+}
+
+// compare orders an endpoint's heartbeats by time, whatever their offsets in the feed.
+func (h heartbeat) compare(other heartbeat) int {
+	return cmp.Or(cmp.Compare(h.startedAt, other.startedAt), cmp.Compare(h.sequence, other.sequence))
+}
+
+// heartbeat returns the last known heartbeat of the entry's endpoint.
+func (e *entry) heartbeat() heartbeat {
+	return heartbeat{e.object.Endpoint.StartedAt, e.sequence}
+}
+
+// heartbeat returns the last heartbeat that is known to precede the removal.
+func (m *Removal) heartbeat() heartbeat {
+	return heartbeat{m.StartedAt, m.Sequence}
 }
 
-// isSuperseded reports whether a heartbeat is older than a known removal of its endpoint.
-func (r *Registry) isSuperseded(key string, e *catalog.Endpoint) bool {
-	known := r.removals[key]
-	return known != nil && known.supersedes(e.StartedAt, e.Sequence)
+// supersedes reports whether the endpoint's heartbeat is older than the removal.
+func (m *Removal) supersedes(h heartbeat) bool {
+	return h.compare(m.heartbeat()) <= 0
 }
 
 // noteRemoval remembers the removal of an endpoint, unless a later one is known. Without a start
@@ -56,7 +70,7 @@
 	if m.StartedAt <= 0 || m.Age >= removalMemory || known == nil && len(r.removals) >= maxRemovals {
 		return false
 	}
-	if known != nil && known.supersedes(m.StartedAt, m.Sequence) {
+	if known != nil && known.supersedes(m.heartbeat()) {
 		return false
 	}
 	r.removals[m.Key] = &removal{Removal: m, firstSeen: now - max(0, m.Age), learnedAt: now}
@@ -94,21 +108,13 @@
 	if len(list) == 0 {
 		return false
 	}
-	r.mu.Lock()
-	now := r.clock.Mono()
-	learned := false
-	for _, m := range list {
-		learned = r.noteRemoval(m, now) || learned
-	}
-	changed := learned && r.removeSuperseded(now, source)
-	if changed {
-		r.rebuild()
-	}
-	r.mu.Unlock()
-	if changed {
-		r.OnChange([]Feed{FeedEndpoints})
-	}
-	return changed
+	return r.update(FeedEndpoints, func(now clock.Millis) bool {
+		learned := false
+		for _, m := range list {
+			learned = r.noteRemoval(m, now) || learned
+		}
+		return learned && r.removeSuperseded(now, source)
+	})
 }
 
 // removeSuperseded removes the endpoints whose last known heartbeat is older than their removal,
@@ -119,7 +125,7 @@
 	for _, m := range r.removals {
 		key := recordID{FeedEndpoints, m.Key}
 		old := r.entries[key]
-		if old == nil || old.record.Deleted || old.object.Endpoint == nil || !m.supersedes(old.object.Endpoint.StartedAt, old.sequence) {
+		if old == nil || old.record.Deleted || old.object.Endpoint == nil || !m.supersedes(old.heartbeat()) {
 			continue
 		}
 		if old.record.Offset <= m.Offset && r.heads[FeedEndpoints] <= m.Offset {
