link/endpoint: Heads that net/http accepts although they are invalid

Calls, streams, orders and load reports of the older path took a response with status 000, or with a blank in a field's name, for an answer. Every status below 400 was a success, 000 among them; "Content Length: 5" made whatever came until the close the body of a call.

Cause: net/http's client accepts both, as http.ReadResponse does for the replicas.

Fix: the endpoints' clients check heads as the replicas' client does (socket.CheckHeads), and so does the load report that is read over a new connection.

Handled already: control bytes in names (all five reads), and status 000 of the report over a new connection, while that of a requested report was classified as failed instead of broken.

Not handled here: a blank in front of a name, which net/http joins to the field before; its transport doesn't show the bytes of the head. RFC 9112, 5.2 allows that reading.

--- /dev/null
+++ b/link/endpoint/broken_test.go
@@ -0,0 +1,88 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"foxtailbridge/policy/fault"
+)
+
+// rawEndpoint sends a response to requests, or to load reports, as raw bytes.
+type rawEndpoint struct {
+	inReport bool
+	// status is the status line; fields are sent after the attempt ID.
+	status, fields string
+	body           string
+}
+
+// ServeHTTP closes the connection after the response.
+func (e *rawEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if (r.URL.Path == "/load") != e.inReport {
+		fmt.Fprint(w, `{"boot-id":"b1","phase":"warm","slots":1}`)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body) // The response is the same for any request.
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "%s\r\n%s: %s\r\n%s\r\n%s", e.status, HeaderAttempt, r.Header.Get(HeaderAttempt), e.fields, e.body)
+}
+
+// TestInvalidHeads guards against responses that net/http accepts although they are invalid: one
+// with status 000 counted as a success, and one whose length was lost had a body that wasn't the
+// endpoint's.
+func TestInvalidHeads(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK"
+	const report = `{"boot-id":"b1","phase":"warm","slots":1}`
+	const events = "data: " + tokenA + "\n\ndata: " + tokenB + "\n\ndata: " + usage2 + "\n\ndata: " + doneMarker + "\n\n"
+	call := func(e *Endpoint) error {
+		_, err := e.Call(context.Background(), &Attempt{ID: "1"}, &CallRequest{Call: "x"})
+		return err
+	}
+	stream := func(e *Endpoint) error {
+		_, err := e.Stream(context.Background(), &Attempt{ID: "1"}, &StreamRequest{Body: []byte("{}")}, func(string) error { return nil })
+		return err
+	}
+	load := func(e *Endpoint) error {
+		_, err := e.Load(context.Background())
+		return err
+	}
+	order := func(e *Endpoint) error { return e.SendOrder(context.Background(), &Order{}) }
+	heads := []struct{ name, status, fields string }{
+		{"status 000", "HTTP/1.1 000 OK", ""},
+		{"control byte in a field name", ok, "X\x01Odd: v\r\n"},
+		{"blank in a field name", ok, "X Odd: v\r\n"},
+		{"blank in the name of the length", ok, "Content Length: 5\r\n"},
+	}
+	rows := []struct {
+		name     string
+		inReport bool
+		body     string
+		send     func(e *Endpoint) error
+		kind     Kind
+	}{
+		{"call", false, "ok", call, KindBroken},
+		{"stream", false, events, stream, KindBroken},
+		{"order", false, "", order, KindBroken},
+		{"report", true, report, load, KindBroken},
+		{"probe", true, report, call, KindNotSent},
+	}
+	for _, row := range rows {
+		for _, head := range heads {
+			t.Run(row.name+", "+head.name, func(t *testing.T) {
+				server := httptest.NewServer(&rawEndpoint{row.inReport, head.status, head.fields, row.body})
+				defer server.Close()
+				err := row.send(New(server.URL))
+				if kind := fault.KindOf[Kind](err); kind != row.kind {
+					t.Errorf("kind %q, want %q: %v", kind, row.kind, err)
+				}
+			})
+		}
+	}
+}
--- a/link/endpoint/dial.go
+++ b/link/endpoint/dial.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"foxtailbridge/link/socket"
 )
 
 // dialError wraps an error that occurred before any byte of the request was sent.
@@ -68,6 +70,9 @@
 		return nil, err
 	}
 	defer response.Body.Close()
+	if err := socket.CheckHead(response); err != nil {
+		return nil, err
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("load report: status %d", response.StatusCode)
 	}
--- a/link/endpoint/endpoint.go
+++ b/link/endpoint/endpoint.go
@@ -9,6 +9,7 @@
 
 	"github.com/dghubble/sling"
 
+	"foxtailbridge/link/socket"
 	"foxtailbridge/policy/clock"
 	"foxtailbridge/policy/fault"
 	"foxtailbridge/policy/gate"
@@ -171,8 +172,8 @@
 // New returns an Endpoint that sends HTTP requests to the base URL.
 func New(baseURL string, opts ...Option) *Endpoint {
 	o := newOptions(opts)
-	requestClient := &http.Client{Transport: o.requestTransport()}
-	reportClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeaderBytes}}
+	requestClient := &http.Client{Transport: socket.CheckHeads(o.requestTransport())}
+	reportClient := &http.Client{Transport: socket.CheckHeads(&http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeaderBytes})}
 	base := sling.New().Base(baseURL)
 	return &Endpoint{
 		Load: func(ctx context.Context) (*Load, error) {
--- a/link/socket/response.go
+++ b/link/socket/response.go
@@ -22,3 +22,21 @@
 	}
 	return nil
 }
+
+// CheckHeads returns a transport that fails unless a response passes CheckHead.
+func CheckHeads(transport http.RoundTripper) http.RoundTripper { return headChecker{transport} }
+
+type headChecker struct{ transport http.RoundTripper }
+
+// RoundTrip sends a request.
+func (c headChecker) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(response); err != nil {
+		response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
