link/endpoint: A reset is no end of a call's response

Handled already: streams, which end with a marker and a count of tokens (TestStream), and load reports and orders, whose requests fit into one write; the JSON of a report that is cut cannot be decoded.

--- a/link/endpoint/broken_test.go
+++ b/link/endpoint/broken_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"foxtailbridge/policy/fault"
 )
@@ -86,3 +88,50 @@
 		}
 	}
 }
+
+// TestEndDuringRequest guards against a part of a response that counts as complete because the
+// connection ended while the request was still being written. The response has no length, so that
+// its end is that of the connection.
+func TestEndDuringRequest(t *testing.T) {
+	const requestBytes = 4 << 20 // The sockets don't buffer as much.
+	rows := []struct {
+		name string
+		end  func(conn *net.TCPConn, request io.Reader)
+		kind Kind
+	}{
+		{"reset", func(conn *net.TCPConn, _ io.Reader) {
+			time.Sleep(5 * time.Millisecond) // The client reads the part and waits for more.
+			_ = conn.SetLinger(0)            // Unread data resets the connection as well.
+		}, KindBroken},
+		{"closed after the request was read", func(_ *net.TCPConn, request io.Reader) {
+			_, _ = io.CopyN(io.Discard, request, requestBytes) // The call would fail.
+		}, ""},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/load" {
+					fmt.Fprint(w, `{"boot-id":"b1","phase":"warm","slots":1}`)
+					return
+				}
+				conn, request, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\npart", HeaderAttempt, r.Header.Get(HeaderAttempt))
+				row.end(conn.(*net.TCPConn), request)
+			}))
+			defer server.Close()
+			kinds := map[Kind]int{}
+			const requests = 20 // Either the write or the read receives a reset.
+			for range requests {
+				_, err := New(server.URL).Call(context.Background(), &Attempt{ID: "1"}, &CallRequest{Call: "x", Body: make([]byte, requestBytes)})
+				kinds[fault.KindOf[Kind](err)]++
+			}
+			if kinds[row.kind] != requests {
+				t.Errorf("%d calls ended as %v, want %q", requests, kinds, row.kind)
+			}
+		})
+	}
+}
--- a/link/endpoint/dial.go
+++ b/link/endpoint/dial.go
@@ -35,7 +35,7 @@
 // restarted process before its report was read.
 func (o *options) dialProbed(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: o.dialTimeout.Duration()}
-	conn, err := dialer.DialContext(ctx, network, address)
+	conn, err := socket.Dial(ctx, &dialer, network, address)
 	if err != nil {
 		return nil, &dialError{err}
 	}
--- a/link/socket/reset.go
+++ b/link/socket/reset.go
@@ -27,21 +27,23 @@
 // Read reads from the connection.
 func (c resetConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
-	if err == io.EOF && c.isReset() {
+	if err == io.EOF && !c.endedByPeer() {
 		err = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: syscall.ECONNRESET}
 	}
 	return n, err
 }
 
-// isReset reports whether the connection has failed. One that only the peer has closed can still
-// be written to.
-func (c resetConn) isReset() bool {
+// endedByPeer reports whether io.EOF means that the peer has closed the connection. It could still
+// be written to then, unlike one that has failed, or that was closed here because a write failed.
+func (c resetConn) endedByPeer() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
-	var info *unix.TCPInfo
-	var infoErr error
-	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	return err == nil && infoErr == nil && info.State == unix.BPF_TCP_CLOSE
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		ended = err != nil || info.State != unix.BPF_TCP_CLOSE // Without the state the read is believed.
+	})
+	return ended && err == nil
 }
