link/endpoint: A call's response without a length needs its request written

As for the replicas: an endpoint that closes the connection cleanly, while a long call is still being written, ended a part of a response without a length as a complete one.

Fix: such a response counts only if net/http has taken the whole body of the request. It closes the connection at the end of the response, so there is nothing to wait for. An endpoint that reads the request before it closes gets its response passed on as before.

Ruled out: the WroteRequest hook of net/http/httptrace. It is called before the last few KB are flushed, and twice if a request is sent again on another connection.

--- a/link/endpoint/broken_test.go
+++ b/link/endpoint/broken_test.go
@@ -103,6 +103,10 @@
 			time.Sleep(5 * time.Millisecond) // The client reads the part and waits for more.
 			_ = conn.SetLinger(0)            // Unread data resets the connection as well.
 		}, KindBroken},
+		{"closed", func(conn *net.TCPConn, _ io.Reader) {
+			_ = conn.CloseWrite() // The client would wait for the end of the response.
+			time.Sleep(20 * time.Millisecond)
+		}, KindBroken},
 		{"closed after the request was read", func(_ *net.TCPConn, request io.Reader) {
 			_, _ = io.CopyN(io.Discard, request, requestBytes) // The call would fail.
 		}, ""},
--- a/link/endpoint/service.go
+++ b/link/endpoint/service.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/dghubble/sling"
 
@@ -33,17 +34,29 @@
 // onceReader hides the type of its reader, so that net/http cannot rewind the body and
 // retry the request on its own.
 type onceReader struct {
-	io.Reader
+	reader *bytes.Reader
+	// unread is the number of bytes that are left. It may be loaded concurrently with Read.
+	unread atomic.Int64
 }
 
-func newBody(body []byte) io.Reader {
-	return onceReader{bytes.NewReader(body)}
+func newBody(body []byte) *onceReader {
+	o := &onceReader{reader: bytes.NewReader(body)}
+	o.unread.Store(int64(len(body)))
+	return o
+}
+
+// Read reads from the body.
+func (o *onceReader) Read(p []byte) (int, error) {
+	n, err := o.reader.Read(p)
+	o.unread.Add(-int64(n))
+	return n, err
 }
 
 func call(ctx context.Context, client *http.Client, base *sling.Sling, o *options, attempt *Attempt, request *CallRequest) (*CallResponse, error) {
+	requestBody := newBody(request.Body)
 	built, err := attempt.setHeaders(base.New().Post("calls/"+request.Call)).
 		Set("Content-Type", request.ContentType).
-		Body(newBody(request.Body)).
+		Body(requestBody).
 		Request()
 	if err != nil {
 		return nil, fault.New("call", KindNotSent, "%w", err)
@@ -71,6 +84,11 @@
 	if len(body) > MaxResponseBytes {
 		return nil, fault.New("call", KindIncomplete, "response is larger than %d bytes", MaxResponseBytes)
 	}
+	// A response without a length ends with the connection, which an endpoint that crashes closes too.
+	unsized := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	if left := requestBody.unread.Load(); unsized && left > 0 {
+		return nil, fault.New("call", KindBroken, "the connection was closed before %d bytes of the request were written", left)
+	}
 	return &CallResponse{
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
