link/socket: Heads that net/http accepts, from the store, the platform and peers

The clients of the store, the log, the directory, the ratings and the peers took the same invalid heads for responses as the one of the endpoints did. An append of bills to the log with status 000 counted as done. The store's client classified status 000 as a refusal, which means that nothing was done. With a blank in a field's name all of them succeeded.

Fix: their transports check heads (socket.CheckHeads).

Handled already: control bytes; status 000 from a peer, which is not 200; a reset of an exchange between instances, in entry/relay, whose JSON is incomplete or whose request fits into one write (two rows kept).

--- a/link/platform/options.go
+++ b/link/platform/options.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"foxtailbridge/link/socket"
 	"foxtailbridge/policy/clock"
 )
 
@@ -31,7 +32,7 @@
 }
 
 func newOptions(opts []Option) *options {
-	o := &options{client: &http.Client{}, timeout: DefaultTimeout}
+	o := &options{client: &http.Client{Transport: socket.CheckHeads(http.DefaultTransport)}, timeout: DefaultTimeout}
 	for _, opt := range opts {
 		opt(o)
 	}
--- a/link/socket/socket.go
+++ b/link/socket/socket.go
@@ -65,15 +65,15 @@
 	return config.Listen(ctx, "tcp", address)
 }
 
-// NewClient returns an HTTP client that connects with NewDialer.
+// NewClient returns an HTTP client that connects with NewDialer and checks heads.
 func NewClient(dialTimeout time.Duration) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: CheckHeads(&http.Transport{
 		DialContext:            NewDialer(dialTimeout).DialContext,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: MaxHeaderBytes,
-	}}
+	})}
 }
 
 // Stale reports whether an idle connection was closed by the peer or has unread data.
