link/socket: A reset is no end of a response of the store, the platform and peers

The clients with net/http's transport took a reset during a long request for the end of the response, as the endpoints' client did. Without a length, the part that had come was the whole: an empty message of a peer said that it holds the sender's bills.

Fix: their transports connect with socket.Dial (socket.StrictTransport). The client of the older path's platform keeps the settings of http.DefaultTransport.

--- a/entry/clients_test.go
+++ b/entry/clients_test.go
@@ -58,6 +58,7 @@
 		{"control byte in a field name", ok + "X\x01Odd: v\r\n", false},
 		{"blank in a field name", ok + "X Odd: v\r\n", false},
 		{"blank in the name of the length", ok + "Content Length: 5\r\n", false},
+		{"reset", ok, true},
 	}
 	for _, call := range calls {
 		for _, response := range responses {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -80,7 +80,7 @@
 
 // externalClients returns clients for the platform, the endpoints and the other instances.
 func externalClients(s *settings.Entry) instance.ExternalClients {
-	peers := &http.Client{Transport: socket.CheckHeads(&http.Transport{MaxIdleConnsPerHost: peerIdleConns})}
+	peers := &http.Client{Transport: socket.StrictTransport(&net.Dialer{}, &http.Transport{MaxIdleConnsPerHost: peerIdleConns})}
 	return instance.ExternalClients{
 		Log:       platform.NewLog(s.Platform.Log),
 		Directory: platform.NewDirectory(s.Platform.Directory),
--- a/link/platform/options.go
+++ b/link/platform/options.go
@@ -1,7 +1,9 @@
 package platform
 
 import (
+	"net"
 	"net/http"
+	"time"
 
 	"foxtailbridge/link/socket"
 	"foxtailbridge/policy/clock"
@@ -13,6 +15,12 @@
 	maxResponseBytes = 64 << 20
 )
 
+// dialTimeout bounds connecting, as http.DefaultTransport does.
+const dialTimeout = 30 * time.Second
+
+// transport is http.DefaultTransport as a StrictTransport.
+var transport = socket.StrictTransport(&net.Dialer{Timeout: dialTimeout}, http.DefaultTransport.(*http.Transport).Clone())
+
 type options struct {
 	client  *http.Client
 	timeout clock.Millis
@@ -32,7 +40,7 @@
 }
 
 func newOptions(opts []Option) *options {
-	o := &options{client: &http.Client{Transport: socket.CheckHeads(http.DefaultTransport)}, timeout: DefaultTimeout}
+	o := &options{client: &http.Client{Transport: transport}, timeout: DefaultTimeout}
 	for _, opt := range opts {
 		opt(o)
 	}
--- a/link/socket/socket.go
+++ b/link/socket/socket.go
@@ -65,10 +65,9 @@
 	return config.Listen(ctx, "tcp", address)
 }
 
-// NewClient returns an HTTP client that connects with NewDialer and checks heads.
+// NewClient returns an HTTP client that connects with NewDialer and has a StrictTransport.
 func NewClient(dialTimeout time.Duration) *http.Client {
-	return &http.Client{Transport: CheckHeads(&http.Transport{
-		DialContext:            NewDialer(dialTimeout).DialContext,
+	return &http.Client{Transport: StrictTransport(NewDialer(dialTimeout), &http.Transport{
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
@@ -76,6 +75,14 @@
 	})}
 }
 
+// StrictTransport returns a transport that connects with Dial and checks heads.
+func StrictTransport(dialer *net.Dialer, transport *http.Transport) http.RoundTripper {
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		return Dial(ctx, dialer, network, address)
+	}
+	return CheckHeads(transport)
+}
+
 // Stale reports whether an idle connection was closed by the peer or has unread data.
 func Stale(conn net.Conn) bool {
 	sys, ok := conn.(syscall.Conn)
