link/socket: LengthDelimited for both clients, StrictTransport beside the check of heads

Found by reading the change again: the replicas' client and the older path's each told in its own way whether a response ends with its connection. StrictTransport moves to the checks that it applies. No change of behaviour; the tests are unchanged.

--- a/link/endpoint/service.go
+++ b/link/endpoint/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/dghubble/sling"
 
+	"foxtailbridge/link/socket"
 	"foxtailbridge/policy/fault"
 	"foxtailbridge/policy/gate"
 )
@@ -85,8 +86,7 @@
 		return nil, fault.New("call", KindIncomplete, "response is larger than %d bytes", MaxResponseBytes)
 	}
 	// A response without a length ends with the connection, which an endpoint that crashes closes too.
-	unsized := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	if left := requestBody.unread.Load(); unsized && left > 0 {
+	if left := requestBody.unread.Load(); left > 0 && !socket.LengthDelimited(response) {
 		return nil, fault.New("call", KindBroken, "the connection was closed before %d bytes of the request were written", left)
 	}
 	return &CallResponse{
--- a/link/socket/socket.go
+++ b/link/socket/socket.go
@@ -75,14 +75,6 @@
 	})}
 }
 
-// StrictTransport returns a transport that connects with Dial and checks heads.
-func StrictTransport(dialer *net.Dialer, transport *http.Transport) http.RoundTripper {
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		return Dial(ctx, dialer, network, address)
-	}
-	return CheckHeads(transport)
-}
-
 // Stale reports whether an idle connection was closed by the peer or has unread data.
 func Stale(conn net.Conn) bool {
 	sys, ok := conn.(syscall.Conn)
