--- a/link/socket/doc.go
+++ b/link/socket/doc.go
@@ -1,3 +1,4 @@
 // Package socket provides TCP connections that fail quickly when the peer stops
-// responding, and graceful draining of server connections.
+// responding, HTTP clients that refuse broken responses, and graceful draining of server
+// connections.
 package socket
