--- a/entry/clients_test.go
+++ b/entry/clients_test.go
@@ -2,26 +2,21 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"foxtailbridge/entry/instance"
 	"foxtailbridge/link/peer"
 	"foxtailbridge/link/peer/peerv1"
 	"foxtailbridge/link/platform"
 	"foxtailbridge/link/settings"
+	"foxtailbridge/link/socket/sockettest"
 )
 
 // TestBrokenResponses guards against broken responses of the platform and of peers that count as
 // successes.
 func TestBrokenResponses(t *testing.T) {
-	const ok = "HTTP/1.1 200 OK\r\n"
 	ctx := context.Background()
 	dial := func(c instance.ExternalClients, address string) *peer.Client {
 		return c.Dial(platform.InstanceListing{Peer: address})
@@ -50,34 +45,19 @@
 			return err
 		}},
 	}
-	responses := []struct {
+	type response struct {
 		name, head string
 		reset      bool
-	}{
-		{"status 000", "HTTP/1.1 000 OK\r\n", false},
-		{"control byte in a field name", ok + "X\x01Odd: v\r\n", false},
-		{"blank in a field name", ok + "X Odd: v\r\n", false},
-		{"blank in the name of the length", ok + "Content Length: 5\r\n", false},
-		{"reset", ok, true},
+	}
+	responses := []response{{"reset", sockettest.OK, true}}
+	for _, invalid := range sockettest.InvalidHeads {
+		responses = append(responses, response{invalid.Name, invalid.Head, false})
 	}
 	for _, call := range calls {
 		for _, response := range responses {
 			t.Run(call.name+", "+response.name, func(t *testing.T) {
-				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					if !response.reset {
-						_, _ = io.Copy(io.Discard, r.Body) // The response is the same for any request.
-					}
-					conn, _, err := http.NewResponseController(w).Hijack()
-					if err != nil {
-						return
-					}
-					defer conn.Close()
-					fmt.Fprintf(conn, "%sContent-Type: %s\r\n\r\n%s", response.head, call.contentType, call.body)
-					if response.reset {
-						time.Sleep(5 * time.Millisecond)     // The client reads the response and waits for more.
-						_ = conn.(*net.TCPConn).SetLinger(0) // Unread data resets the connection as well.
-					}
-				}))
+				head := response.head + "Content-Type: " + call.contentType + "\r\n"
+				server := httptest.NewServer(sockettest.Response{Head: head, Body: call.body, Reset: response.reset})
 				defer server.Close()
 				s := &settings.Entry{}
 				s.Platform.Log, s.Platform.Directory, s.Platform.Ratings = server.URL, server.URL, server.URL
--- a/entry/relay/broken_test.go
+++ b/entry/relay/broken_test.go
@@ -2,49 +2,34 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"foxtailbridge/link/socket"
+	"foxtailbridge/link/socket/sockettest"
 )
 
 // TestBrokenResponses guards against broken responses that count as a peer's message.
 func TestBrokenResponses(t *testing.T) {
-	const ok = "HTTP/1.1 200 OK\r\n"
-	rows := []struct {
+	type row struct {
 		name, head, body string
 		reset            bool
 		accepted         bool
-	}{
-		{"valid", ok, "{}", false, true},
-		{"status 000", "HTTP/1.1 000 OK\r\n", "{}", false, false},
-		{"control byte in a field name", ok + "X\x01Odd: v\r\n", "{}", false, false},
-		{"blank in a field name", ok + "X Odd: v\r\n", "{}", false, false},
-		{"blank in the name of the length", ok + "Content Length: 2\r\n", "{}", false, false},
-		{"reset", ok, "{}", true, false},
-		{"reset without a body", ok, "", true, false},
+	}
+	rows := []row{
+		{"valid", sockettest.OK, "{}", false, true},
+		{"reset", sockettest.OK, "{}", true, false},
+		{"reset without a body", sockettest.OK, "", true, false},
+	}
+	for _, invalid := range sockettest.InvalidHeads {
+		rows = append(rows, row{invalid.Name, invalid.Head, "{}", false, false})
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				_, _ = io.Copy(io.Discard, r.Body) // The response is the same for any message.
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				fmt.Fprint(conn, row.head+"Content-Type: application/json\r\n\r\n"+row.body)
-				if row.reset {
-					time.Sleep(5 * time.Millisecond)     // The client reads the response and waits for more.
-					_ = conn.(*net.TCPConn).SetLinger(0) // The exchange would be accepted.
-				}
-			}))
+			head := row.head + "Content-Type: application/json\r\n"
+			server := httptest.NewServer(sockettest.Response{Head: head, Body: row.body, Reset: row.reset})
 			defer server.Close()
 			address := strings.TrimPrefix(server.URL, "http://")
 			accepted := false
--- a/link/endpoint/broken_test.go
+++ b/link/endpoint/broken_test.go
@@ -10,15 +10,15 @@
 	"testing"
 	"time"
 
+	"foxtailbridge/link/socket/sockettest"
 	"foxtailbridge/policy/fault"
 )
 
 // rawEndpoint sends a response to requests, or to load reports, as raw bytes.
 type rawEndpoint struct {
 	inReport bool
-	// status is the status line; fields are sent after the attempt ID.
-	status, fields string
-	body           string
+	// head lacks the attempt ID.
+	head, body string
 }
 
 // ServeHTTP closes the connection after the response.
@@ -27,20 +27,14 @@
 		fmt.Fprint(w, `{"boot-id":"b1","phase":"warm","slots":1}`)
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body) // The response is the same for any request.
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	fmt.Fprintf(conn, "%s\r\n%s: %s\r\n%s\r\n%s", e.status, HeaderAttempt, r.Header.Get(HeaderAttempt), e.fields, e.body)
+	head := e.head + HeaderAttempt + ": " + r.Header.Get(HeaderAttempt) + "\r\n"
+	sockettest.Response{Head: head, Body: e.body}.ServeHTTP(w, r)
 }
 
 // TestInvalidHeads guards against responses that net/http accepts although they are invalid: one
 // with status 000 counted as a success, and one whose length was lost had a body that wasn't the
 // endpoint's.
 func TestInvalidHeads(t *testing.T) {
-	const ok = "HTTP/1.1 200 OK"
 	const report = `{"boot-id":"b1","phase":"warm","slots":1}`
 	const events = "data: " + tokenA + "\n\ndata: " + tokenB + "\n\ndata: " + usage2 + "\n\ndata: " + doneMarker + "\n\n"
 	call := func(e *Endpoint) error {
@@ -56,12 +50,6 @@
 		return err
 	}
 	order := func(e *Endpoint) error { return e.SendOrder(context.Background(), &Order{}) }
-	heads := []struct{ name, status, fields string }{
-		{"status 000", "HTTP/1.1 000 OK", ""},
-		{"control byte in a field name", ok, "X\x01Odd: v\r\n"},
-		{"blank in a field name", ok, "X Odd: v\r\n"},
-		{"blank in the name of the length", ok, "Content Length: 5\r\n"},
-	}
 	rows := []struct {
 		name     string
 		inReport bool
@@ -76,9 +64,9 @@
 		{"probe", true, report, call, KindNotSent},
 	}
 	for _, row := range rows {
-		for _, head := range heads {
-			t.Run(row.name+", "+head.name, func(t *testing.T) {
-				server := httptest.NewServer(&rawEndpoint{row.inReport, head.status, head.fields, row.body})
+		for _, invalid := range sockettest.InvalidHeads {
+			t.Run(row.name+", "+invalid.Name, func(t *testing.T) {
+				server := httptest.NewServer(&rawEndpoint{row.inReport, invalid.Head, row.body})
 				defer server.Close()
 				err := row.send(New(server.URL))
 				if kind := fault.KindOf[Kind](err); kind != row.kind {
