Order what is known of the store by era and offset

The store gives out offsets again after its return, and says so by Store-Era, which nothing read. Heads never go back, so what is written between the end of the copy and the old head counts as read; 410 led to a listing that left the head where it was; peers tell each other only what lies beyond their heads.

Why this holds: positions are (era, offset) wherever knowledge is read, kept and passed on: feed, listing, heads, exchanges, a starting instance, removals, order starts, the identity of the configuration, and the fence of Commit. A read that is answered in another era is no continuation.

Ruled out: the order of configurations by revision; failed reads; a repair in how configurations are passed on, which leaves orders and evacuations.

The config-ignored line has the eras, and its test says so.

--- a/entry/forward/view_change_test.go
+++ b/entry/forward/view_change_test.go
@@ -15,7 +15,7 @@
 // slots.
 func (h *harness) changeEndpoints(release catalog.Release, slots int) {
 	head, _ := h.registry.Head(registry.FeedEndpoints)
-	batch := registry.Batch{Feed: registry.FeedEndpoints, From: head, Head: head}
+	batch := registry.Batch{Feed: registry.FeedEndpoints, Era: head.Era, From: head.Offset, Head: head.Offset}
 	for i := range 4 {
 		id := fmt.Sprint("plain", i)
 		batch.Records = append(batch.Records, registry.Record{Key: id, Value: fmt.Appendf(nil, "%s %d", release, slots), Offset: batch.Head})
--- a/entry/registry/config.go
+++ b/entry/registry/config.go
@@ -12,6 +12,8 @@
 // a negative End, which only a malformed message has.
 type ConfigID struct {
 	Revision catalog.Revision `json:"revision"`
+	// Era is the era of the record.
+	Era Era `json:"era,omitempty"`
 	// End is the offset after the record, so that a record has an End of at least 1.
 	End Offset `json:"end"`
 }
@@ -23,7 +25,7 @@
 	if id.End <= 0 || other.End <= 0 {
 		return cmp.Compare(max(0, id.End), max(0, other.End))
 	}
-	return cmp.Or(cmp.Compare(id.Revision, other.Revision), cmp.Compare(id.End, other.End))
+	return cmp.Or(cmp.Compare(id.Revision, other.Revision), cmp.Compare(id.Era, other.Era), cmp.Compare(id.End, other.End))
 }
 
 // configID returns the ID of an entry with a configuration, or the zero value for nil.
@@ -31,7 +33,7 @@
 	if e == nil {
 		return ConfigID{}
 	}
-	return ConfigID{Revision: e.object.Config.Revision, End: e.record.Offset + 1}
+	return ConfigID{Revision: e.object.Config.Revision, Era: e.record.Era, End: e.record.Offset + 1}
 }
 
 // ConfigID returns the ID of the configuration in force.
@@ -63,10 +65,10 @@
 		r.take(key, next, b)
 		return true
 	}
-	offset := next.record.Offset
-	if offset >= known.End && offset > r.ignoredConfigUpTo {
-		r.ignoredConfigUpTo = offset
-		args := []any{"key", key.key, "offset", offset, "gone", next.record.Deleted, "in-force", known.Revision, "in-force-offset", known.End - 1, "source", b.Source}
+	position, inForce := next.record.Position(), Position{Era: known.Era, Offset: known.End - 1}
+	if inForce.Before(position) && r.ignoredConfigUpTo.Before(position) {
+		r.ignoredConfigUpTo = position
+		args := []any{"key", key.key, "era", position.Era, "offset", position.Offset, "gone", next.record.Deleted, "in-force", known.Revision, "in-force-era", inForce.Era, "in-force-offset", inForce.Offset, "source", b.Source}
 		if next.object.Config != nil {
 			args = append(args, "version", next.object.Config.Revision)
 		}
@@ -82,7 +84,7 @@
 		return records
 	}
 	for i := range records {
-		if records[i].Key == r.config.record.Key && records[i].Offset == r.config.record.Offset {
+		if records[i].Key == r.config.record.Key && records[i].Position() == r.config.record.Position() {
 			return records
 		}
 	}
--- a/entry/registry/config_test.go
+++ b/entry/registry/config_test.go
@@ -47,7 +47,8 @@
 // the log no longer holds all that is new.
 func (l *configLog) read(instance int) {
 	i := l.instances[instance]
-	from, known := i.Head(FeedOrders)
+	head, known := i.Head(FeedOrders)
+	from := head.Offset
 	if !known || from < l.first {
 		l.list(instance)
 		return
@@ -103,34 +104,34 @@
 			l.read(0)
 			l.write("config 2")
 			l.read(0)
-		}, 0, ConfigID{3, 2}},
+		}, 0, ConfigID{Revision: 3, End: 2}},
 		{"both are read at once", func(l *configLog) {
 			l.write("config 1")
 			l.read(0)
 			l.write("config 3")
 			l.write("config 2")
 			l.read(0)
-		}, 0, ConfigID{3, 2}},
+		}, 0, ConfigID{Revision: 3, End: 2}},
 		{"a later record of equal version", func(l *configLog) {
 			l.write("config 3")
 			l.read(0)
 			l.write("config 3")
 			l.read(0)
-		}, 0, ConfigID{3, 2}},
+		}, 0, ConfigID{Revision: 3, End: 2}},
 		{"the history has expired, the listing has the older version", func(l *configLog) {
 			l.write("config 3")
 			l.read(0)
 			l.write("config 2")
 			l.first = l.head()
 			l.read(0)
-		}, 0, ConfigID{3, 1}},
+		}, 0, ConfigID{Revision: 3, End: 1}},
 		{"the store lost the configuration", func(l *configLog) {
 			l.write("config 3")
 			l.read(0)
 			l.write("config 2")
 			l.first, l.newest = l.head(), nil
 			l.read(0)
-		}, 0, ConfigID{3, 1}},
+		}, 0, ConfigID{Revision: 3, End: 1}},
 		{"the store lost everything, its offsets begin anew", func(l *configLog) {
 			l.write("config 1")
 			l.write("config 1")
@@ -143,14 +144,14 @@
 			l.list(0)
 			l.write("config 4")
 			l.list(0)
-		}, 0, ConfigID{4, 3}},
+		}, 0, ConfigID{Revision: 4, End: 3}},
 		{"an older version from a peer", func(l *configLog) {
 			l.write("config 3")
 			l.read(0)
 			l.write("config 2")
 			l.list(1)
 			l.send(1, 0)
-		}, 0, ConfigID{3, 1}},
+		}, 0, ConfigID{Revision: 3, End: 1}},
 		{"a late start with a listing of the older version, same heads", func(l *configLog) {
 			l.write("config 3")
 			l.read(0)
@@ -158,14 +159,14 @@
 			l.read(0)
 			l.list(1)
 			l.send(0, 1)
-		}, 1, ConfigID{3, 1}},
+		}, 1, ConfigID{Revision: 3, End: 1}},
 		{"a late start, the peer has not yet read as far", func(l *configLog) {
 			l.write("config 3")
 			l.read(0)
 			l.write("config 2")
 			l.list(1)
 			l.send(0, 1)
-		}, 1, ConfigID{3, 1}},
+		}, 1, ConfigID{Revision: 3, End: 1}},
 		{"a late start, by way of a third instance", func(l *configLog) {
 			l.write("config 3")
 			l.read(0)
@@ -175,7 +176,7 @@
 			l.list(2)
 			l.send(0, 2)
 			l.send(2, 1)
-		}, 1, ConfigID{3, 1}},
+		}, 1, ConfigID{Revision: 3, End: 1}},
 		{"a late start, the peer has listed the older version too", func(l *configLog) {
 			l.write("config 3")
 			l.read(0)
@@ -183,7 +184,7 @@
 			l.first = l.head()
 			l.read(0)
 			l.send(0, 1)
-		}, 1, ConfigID{3, 1}},
+		}, 1, ConfigID{Revision: 3, End: 1}},
 		{"a late start, the store's record can't be decoded", func(l *configLog) {
 			l.write("config 3")
 			l.read(0)
@@ -191,7 +192,7 @@
 			l.read(0)
 			l.list(1)
 			l.send(0, 1)
-		}, 1, ConfigID{3, 1}},
+		}, 1, ConfigID{Revision: 3, End: 1}},
 		{"a late start, the store's record is deleted", func(l *configLog) {
 			l.write("config 3")
 			l.read(0)
@@ -199,7 +200,7 @@
 			l.read(0)
 			l.list(1)
 			l.send(0, 1)
-		}, 1, ConfigID{3, 1}},
+		}, 1, ConfigID{Revision: 3, End: 1}},
 		{"an older version follows a deletion", func(l *configLog) {
 			l.write("config 3")
 			l.read(0)
@@ -207,20 +208,20 @@
 			l.read(0)
 			l.write("config 2")
 			l.read(0)
-		}, 0, ConfigID{3, 1}},
+		}, 0, ConfigID{Revision: 3, End: 1}},
 		{"a deletion is read before the configuration", func(l *configLog) {
 			l.write("config 3")
 			l.read(0)
 			l.write("")
 			l.instances[1].Merge(Batch{Feed: FeedOrders, Records: l.log[1:], From: 1, Head: 2})
 			l.send(0, 1)
-		}, 1, ConfigID{3, 1}},
+		}, 1, ConfigID{Revision: 3, End: 1}},
 		{"a record that can't be decoded", func(l *configLog) {
 			l.write("config 3")
 			l.read(0)
 			l.write("torn")
 			l.read(0)
-		}, 0, ConfigID{3, 1}},
+		}, 0, ConfigID{Revision: 3, End: 1}},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -332,7 +333,7 @@
 	if n := strings.Count(out.String(), "config-ignored"); n != 1 {
 		t.Errorf("%d lines, want 1:\n%s", n, out.String())
 	}
-	if want := "key=config offset=2 gone=false in-force=3 in-force-offset=1 source=store version=2"; !strings.Contains(out.String(), want) {
+	if want := "key=config era=0 offset=2 gone=false in-force=3 in-force-era=0 in-force-offset=1 source=store version=2"; !strings.Contains(out.String(), want) {
 		t.Errorf("%q is missing in\n%s", want, out.String())
 	}
 }
--- a/entry/registry/expiry_test.go
+++ b/entry/registry/expiry_test.go
@@ -41,7 +41,8 @@
 // read makes an instance read what is new in the log, or all if it has read nothing yet.
 func (f *fleet) read(instance int) {
 	i := f.instances[instance]
-	from, known := i.Head(FeedEndpoints)
+	head, known := i.Head(FeedEndpoints)
+	from := head.Offset
 	if !known {
 		f.list(instance)
 		return
--- a/entry/registry/record.go
+++ b/entry/registry/record.go
@@ -22,14 +22,16 @@
 // Feeds lists all feeds.
 var Feeds = []Feed{FeedOrders, FeedEndpoints, FeedOutcomes}
 
-// Offset is the position of a record in its feed.
-type Offset int64
-
 // Record is the latest known record of a key.
 type Record struct {
-	Feed   Feed   `json:"Feed"`
-	Key    string `json:"Key"`
+	Feed Feed   `json:"Feed"`
+	Key  string `json:"Key"`
+	// Era and Offset are the record's position in its feed.
+	Era    Era    `json:"era,omitempty"`
 	Offset Offset `json:"Offset"`
+	// First is the position at which the record was first written, or nil if that is its
+	// position. The writers of a record that a new era lost write it again.
+	First *Position `json:"first,omitempty"`
 	// Value is the content. A deleted endpoint has one only while the sender still uses it.
 	Value []byte `json:"Value"`
 	// Deleted is true if the key was deleted.
@@ -39,6 +41,28 @@
 	Age clock.Millis `json:"Age"`
 }
 
+// Position returns the record's position.
+func (r *Record) Position() Position {
+	return Position{Era: r.Era, Offset: r.Offset}
+}
+
+// FirstPosition returns the position at which the record was first written.
+func (r *Record) FirstPosition() Position {
+	if r.First != nil {
+		return *r.First
+	}
+	return r.Position()
+}
+
+// OrderNumber returns the number of the order in the record. It is never 0, which means no order.
+func (r *Record) OrderNumber() catalog.OrderNumber {
+	first := r.FirstPosition()
+	return catalog.OrderNumber(int64(first.Era)<<orderOffsetBits + int64(first.Offset) + 1)
+}
+
+// orderOffsetBits is the number of bits of an order number that hold the offset. The era is above.
+const orderOffsetBits = 32
+
 // Outcome is the progress or result of a roll-out order.
 type Outcome string
 
@@ -61,12 +85,36 @@
 	// Order is the number of the roll-out's order, or 0 if the record has none.
 	Order   catalog.OrderNumber
 	Outcome Outcome
+	// Lost is true if the store came back without the status, so that it has to be written again.
+	Lost bool
 }
 
 // AppliesTo reports whether the status belongs to the order. A status without an
 // order number is matched by its target alone.
 func (s Status) AppliesTo(order *catalog.Order) bool {
-	return s.Target == order.Target && (s.Order == 0 || s.Order == order.Number)
+	return s.AppliesToNumber(order.Target, order.Number)
+}
+
+// AppliesToNumber reports whether the status belongs to the order with the target and number. An
+// instance that started in a later era knows an order of an earlier one by the offset at which the
+// later era has it, which is the same or a lower one.
+func (s Status) AppliesToNumber(target catalog.Release, number catalog.OrderNumber) bool {
+	if s.Target != target {
+		return false
+	}
+	const offsetMask = 1<<orderOffsetBits - 1
+	inherited := s.Order>>orderOffsetBits < number>>orderOffsetBits && s.Order&offsetMask >= number&offsetMask
+	return s.Order == 0 || s.Order == number || inherited
+}
+
+// outlasts reports whether the status stays in force although a later record has another one. A
+// final status of an order isn't followed by one that isn't, and in a new era the store may have
+// come back with the status of an earlier order.
+func (s Status) outlasts(next Status, newEra bool) bool {
+	if s.Target == next.Target && (s.Order == next.Order || s.Order == 0 || next.Order == 0) {
+		return s.Outcome.Final() && !next.Outcome.Final()
+	}
+	return newEra && next.Order > 0 && s.Order > next.Order
 }
 
 // Object is the decoded content of a record. At most one field is set; none is set
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -1,7 +1,6 @@
 package registry
 
 import (
-	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -33,6 +32,11 @@
 	expired bool
 	// sequence is the sequence number of the endpoint's last heartbeat.
 	sequence int64
+	// replaced is the value of the record that this one replaced in an earlier record's place, or nil.
+	replaced []byte
+	// base is the record that the store has under the key, if this one stays in force although the
+	// store came back without it, or nil.
+	base *entry
 }
 
 // State is the view with its version, by which readers can cache what they derive from it.
@@ -44,8 +48,9 @@
 	Statuses map[ticket.ServiceName]Status
 }
 
-// Registry caches the latest record of each key. It merges new ones by offset, configurations by
-// revision and then by offset. Merging is commutative and idempotent.
+// Registry caches the latest record of each key. It merges new ones by position, that is by the store's
+// era and then by offset, and configurations by revision and then by position. Merging is commutative and
+// idempotent within an era.
 type Registry struct {
 	// Decode decodes a record. Records for which it returns an error are skipped.
 	Decode func(*Record) (Object, error)
@@ -61,13 +66,18 @@
 	entries map[recordID]*entry
 	// config is the entry of the configuration in force, or nil.
 	config *entry
-	// ignoredConfigUpTo is the highest offset of an ignored record of the configuration that was
+	// ignoredConfigUpTo is the latest position of an ignored record of the configuration that was
 	// logged. Several peers send the same record.
-	ignoredConfigUpTo Offset
-	heads             map[Feed]Offset
+	ignoredConfigUpTo Position
+	heads             map[Feed]Position
 	// listedUpTo is the head of the last full listing merged. Keys deleted before it have
 	// no tombstone here.
-	listedUpTo map[Feed]Offset
+	listedUpTo map[Feed]Position
+	// era is the highest known era of the store, eraKnownAt the monotonic time since which it is known.
+	era        Era
+	eraKnownAt clock.Millis
+	// adoptedAt is the monotonic time at which a feed moved on to its present era.
+	adoptedAt map[Feed]clock.Millis
 	// removals holds the recent removals of endpoints by key.
 	removals map[string]*removal
 	// confirmed is when the store last confirmed that it held nothing newer.
@@ -88,8 +98,9 @@
 		logger:        logger.Named("registry"),
 		opts:          defaultOptions(),
 		entries:       map[recordID]*entry{},
-		heads:         map[Feed]Offset{},
-		listedUpTo:    map[Feed]Offset{},
+		heads:         map[Feed]Position{},
+		listedUpTo:    map[Feed]Position{},
+		adoptedAt:     map[Feed]clock.Millis{},
 		removals:      map[string]*removal{},
 		confirmed:     map[Feed]clock.Millis{},
 		zoneColdUntil: map[ticket.ZoneName]clock.Millis{},
@@ -107,9 +118,9 @@
 	return r.view.Load()
 }
 
-// Head returns the offset after the last known record of a feed, and whether the
+// Head returns the position after the last known record of a feed, and whether the
 // feed was ever read.
-func (r *Registry) Head(feed Feed) (Offset, bool) {
+func (r *Registry) Head(feed Feed) (Position, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	head, ok := r.heads[feed]
@@ -117,7 +128,7 @@
 }
 
 // Heads returns the heads of all feeds that were ever read, see Head.
-func (r *Registry) Heads() map[Feed]Offset {
+func (r *Registry) Heads() map[Feed]Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return maps.Clone(r.heads)
@@ -149,10 +160,12 @@
 	clear(r.confirmed)
 }
 
-// Batch is a set of records of one feed and the range of offsets that it covers.
+// Batch is a set of records of one feed and the range of offsets that it covers in an era.
 type Batch struct {
 	Feed    Feed     `json:"Feed"`
 	Records []Record `json:"Records"`
+	// Era is the era of From and Head. Records of earlier eras are those that were not written again yet.
+	Era Era `json:"era,omitempty"`
 	// From is the first offset covered: no record from there up to Head is missing.
 	From Offset `json:"From"`
 	// Head is the offset after the last one covered.
@@ -167,6 +180,11 @@
 	Source string `json:"Source"`
 }
 
+// head returns the position after the last one covered.
+func (b *Batch) head() Position {
+	return Position{Era: b.Era, Offset: b.Head}
+}
+
 // Merge merges a batch and reports whether the view changed.
 func (r *Registry) Merge(b Batch) bool {
 	b.Age = max(0, b.Age) // Otherwise the view would look confirmed for some time to come.
@@ -189,27 +207,42 @@
 }
 
 func (r *Registry) merge(b *Batch, now clock.Millis) bool {
-	changed := false
+	r.noteEra(b.Era, b.Source, now)
+	head, known := r.heads[b.Feed]
+	adopts := known && b.Era > head.Era
+	if adopts {
+		if !b.Full {
+			return false // Only a full listing tells what the new era has.
+		}
+		r.adopt(b, now)
+		head = r.heads[b.Feed]
+	}
+	changed := adopts && b.Feed == FeedOutcomes
 	for i := range b.Records {
 		changed = r.mergeRecord(&b.Records[i], b, now) || changed
 	}
+	if known && b.Era < head.Era {
+		return changed
+	}
 	if b.Full {
 		changed = r.deleteMissing(b, now) || changed
-		r.listedUpTo[b.Feed] = max(r.listedUpTo[b.Feed], b.Head)
+		r.listedUpTo[b.Feed] = later(r.listedUpTo[b.Feed], b.head())
 	}
-	head, known := r.heads[b.Feed]
-	if b.From > head || !known && b.From > 0 {
+	if b.From > head.Offset || !known && b.From > 0 {
 		// There is a gap between the known records and the batch.
 		return changed
 	}
-	if !known || b.Head > head {
-		r.heads[b.Feed] = b.Head
+	if !known {
+		r.adoptedAt[b.Feed] = now
+	}
+	if !known || b.Head > head.Offset {
+		r.heads[b.Feed] = b.head()
 		if b.Feed == FeedEndpoints {
 			r.forgetRemovals(now)
 			changed = r.removeSuperseded(now, b.Source) || changed
 		}
 	}
-	if b.Head >= head {
+	if b.Head >= head.Offset {
 		r.confirm(b.Feed, now-b.Age, now)
 	}
 	return changed
@@ -233,11 +266,10 @@
 func (r *Registry) mergeRecord(record *Record, b *Batch, now clock.Millis) bool {
 	key := recordID{b.Feed, record.Key}
 	old := r.entries[key]
-	// A peer may still have a key that the full listing lacks.
-	older := old != nil && record.Offset <= old.record.Offset || old == nil && !b.Full && record.Offset < r.listedUpTo[b.Feed]
+	older := r.isOlder(old, record, b, now)
 	if older && !mayBeConfig(old, record, b.Feed) {
-		if old != nil && record.Offset == old.record.Offset {
-			return r.adoptEarlierStart(old, now-record.Age, b.Source)
+		if old != nil && record.Position() == old.record.Position() {
+			return r.adoptEarlierStart(old, record.First, now-record.Age, b.Source)
 		}
 		return false
 	}
@@ -246,7 +278,7 @@
 	if !record.Deleted || len(record.Value) > 0 && b.Feed == FeedEndpoints {
 		object, err := r.Decode(&next.record)
 		if err != nil {
-			r.logger.Warn("record-skipped", "feed", b.Feed, "key", record.Key, "offset", record.Offset, "source", b.Source, "error", err)
+			r.logger.Warn("record-skipped", "feed", b.Feed, "key", record.Key, "era", record.Era, "offset", record.Offset, "source", b.Source, "error", err)
 			if !record.Deleted {
 				return false
 			}
@@ -260,25 +292,53 @@
 	if older {
 		return false
 	}
-	if b.Feed == FeedEndpoints {
+	switch b.Feed {
+	case FeedEndpoints:
 		return r.mergeEndpoint(key, old, next, b.Full || b.Compacted, now)
+	case FeedOutcomes:
+		return r.mergeStatus(key, old, next, b)
 	}
-	if old != nil && old.record.Deleted == record.Deleted && bytes.Equal(old.record.Value, record.Value) {
-		if b.Feed != FeedOrders {
+	if old != nil {
+		if r.confirmRecord(old, next, now) {
+			r.logger.Info("record-confirmed", "feed", b.Feed, "key", key.key, "era", record.Era, "offset", record.Offset, "source", b.Source)
 			return false
 		}
-	}
-	if old != nil && old.object.ZoneOut != "" && record.Deleted {
-		r.zoneColdUntil[old.object.ZoneOut] = now + r.opts.zoneColdPeriod
+		if outlasts(old, next) {
+			old.base = next
+			r.logger.Warn("record-outlasts", "feed", b.Feed, "key", key.key, "era", old.record.Era, "offset", old.record.Offset,
+				"listed-era", record.Era, "listed-offset", record.Offset, "source", b.Source)
+			return false
+		}
+		next.replaced = old.record.Value
+		r.noteZoneReturn(old, next, now)
 	}
 	r.take(key, next, b)
 	return true
 }
 
+// isOlder reports whether a record of the batch precedes what is known of its key.
+func (r *Registry) isOlder(old *entry, record *Record, b *Batch, now clock.Millis) bool {
+	if old != nil {
+		return record.Position().Compare(old.storedAt()) <= 0
+	}
+	if record.Era < r.heads[b.Feed].Era && now-r.adoptedAt[b.Feed] >= rewriteGrace {
+		return true // It has lapsed here.
+	}
+	// A peer may still have a key that the full listing lacks.
+	return !b.Full && record.Position().Before(r.listedUpTo[b.Feed])
+}
+
+// noteZoneReturn notes that the endpoints of a zone count as cold if its drain ends with a record.
+func (r *Registry) noteZoneReturn(old, next *entry, now clock.Millis) {
+	if zone := old.object.ZoneOut; zone != "" && (next == nil || next.record.Deleted) {
+		r.zoneColdUntil[zone] = now + r.opts.zoneColdPeriod
+	}
+}
+
 // take stores an entry from the batch and logs it.
 func (r *Registry) take(key recordID, e *entry, b *Batch) {
 	r.entries[key] = e
-	r.logger.Info("record-taken", "feed", b.Feed, "key", key.key, "offset", e.record.Offset, "gone", e.record.Deleted, "age-ms", int64(e.record.Age+b.Age), "source", b.Source)
+	r.logger.Info("record-taken", "feed", b.Feed, "key", key.key, "era", e.record.Era, "offset", e.record.Offset, "gone", e.record.Deleted, "age-ms", int64(e.record.Age+b.Age), "source", b.Source)
 }
 
 // mergeEndpoint merges an endpoint's record. Of several heartbeats in the log with the same
@@ -301,20 +361,23 @@
 	if old != nil && old.object.Endpoint != nil {
 		if next.heartbeat().compare(old.heartbeat()) < 0 {
 			r.logger.Warn("beat-is-old", "endpoint", key.key, "born", e.StartedAt, "sequence", e.Sequence, "known-sequence", old.sequence)
+			if next.record.Era > old.record.Era {
+				old.record.Era, old.record.Offset = next.record.Era, next.record.Offset
+			}
 			return false
 		}
 		if !old.record.Deleted && sameExceptWarmup(old.object.Endpoint, e) {
 			old.sequence = e.Sequence
-			if compacted {
+			if compacted || next.record.Era > old.record.Era {
 				// The endpoint may have been removed and come back since the first heartbeat.
-				old.record.Offset, old.record.Value = next.record.Offset, next.record.Value
+				old.record.Era, old.record.Offset, old.record.Value = next.record.Era, next.record.Offset, next.record.Value
 			}
 			return false
 		}
 	}
 	r.entries[key] = next
 	r.logger.Info("endpoint-changed", "endpoint", e.ID, "service", e.Service, "zone", e.Zone, "release", e.Release,
-		"leaving", e.Draining, "cold-ms", int64(e.ColdFor), "born", int64(e.StartedAt), "sequence", e.Sequence, "offset", next.record.Offset, "age-ms", int64(now-next.firstSeen))
+		"leaving", e.Draining, "cold-ms", int64(e.ColdFor), "born", int64(e.StartedAt), "sequence", e.Sequence, "era", next.record.Era, "offset", next.record.Offset, "age-ms", int64(now-next.firstSeen))
 	return true
 }
 
@@ -324,7 +387,7 @@
 func (r *Registry) deleteEndpoint(key recordID, old, next *entry, now clock.Millis) bool {
 	sinceRecovery, age := now-r.recoveredAt, r.age(FeedEndpoints)
 	if old != nil && old.object.Endpoint != nil {
-		r.noteRemoval(Removal{Key: key.key, Offset: next.record.Offset, StartedAt: old.object.Endpoint.StartedAt, Sequence: old.sequence}, now)
+		r.noteRemoval(Removal{Key: key.key, Era: next.record.Era, Offset: next.record.Offset, StartedAt: old.object.Endpoint.StartedAt, Sequence: old.sequence}, now)
 	}
 	switch {
 	case old == nil:
@@ -335,7 +398,7 @@
 		r.entries[key] = next
 		return next.expired
 	case old.record.Deleted:
-		old.record.Offset = next.record.Offset
+		old.record.Era, old.record.Offset = next.record.Era, next.record.Offset
 		return false
 	case sinceRecovery < r.opts.expiryGrace || age > r.opts.unavailableAfter:
 		// A live endpoint writes a new entry within the grace period.
@@ -366,18 +429,22 @@
 }
 
 // deleteMissing deletes the keys that a full listing lacks or has as deleted, unless their
-// records are newer than the listing.
+// records are newer than the listing. Those of an earlier era may still be written again.
 func (r *Registry) deleteMissing(b *Batch, now clock.Millis) bool {
 	present := map[string]bool{}
 	for i := range b.Records {
-		present[b.Records[i].Key] = !b.Records[i].Deleted
+		present[b.Records[i].Key] = present[b.Records[i].Key] || !b.Records[i].Deleted && b.Records[i].Era == b.Era
 	}
 	changed := false
 	for key, old := range r.entries {
-		if key.feed != b.Feed || present[key.key] || old.record.Deleted || old.record.Offset >= b.Head {
+		if key.feed != b.Feed || present[key.key] || old.record.Deleted || !old.record.Position().Before(b.head()) {
+			continue
+		}
+		if old.record.Era < b.Era {
+			old.base = nil
 			continue
 		}
-		tombstone := Record{Feed: b.Feed, Key: key.key, Offset: b.Head - 1, Deleted: true}
+		tombstone := Record{Feed: b.Feed, Key: key.key, Era: b.Era, Offset: b.Head - 1, Deleted: true}
 		if tombstone.Offset <= old.record.Offset {
 			tombstone.Offset = old.record.Offset + 1
 		}
@@ -387,10 +454,12 @@
 }
 
 // RemoveExpired removes endpoints whose entries expired during a store outage and that did
-// not write new ones within the grace period after the recovery.
+// not write new ones within the grace period after the recovery, and the records that a new era
+// of the store lacks and that were not written again in time.
 func (r *Registry) RemoveExpired() {
+	r.update(FeedOrders, func(now clock.Millis) bool { return r.removeLapsed(FeedOrders, rewriteGrace, now) })
 	r.update(FeedEndpoints, func(now clock.Millis) bool {
-		changed := false
+		changed := r.removeLapsed(FeedEndpoints, r.opts.expiryGrace, now)
 		for _, e := range r.entries {
 			if !e.expired {
 				continue
@@ -411,7 +480,7 @@
 
 // Since returns the records that another instance with the given heads and configuration lacks,
 // oldest first. A nil config means that it is not known which configuration the other one has.
-func (r *Registry) Since(heads map[Feed]Offset, config *ConfigID) []Batch {
+func (r *Registry) Since(heads map[Feed]Position, config *ConfigID) []Batch {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Mono()
@@ -422,17 +491,19 @@
 			continue
 		}
 		from, known := heads[feed]
-		b := Batch{Feed: feed, Head: head, Age: r.age(feed), Compacted: true}
+		b := Batch{Feed: feed, Era: head.Era, Head: head.Offset, Age: r.age(feed), Compacted: true}
 		switch {
-		case from < r.listedUpTo[feed]:
+		case known && from.Era > head.Era:
+			// The other instance knows better.
+		case from.Before(r.listedUpTo[feed]) || known && from.Era < head.Era:
 			// Keys deleted since then are not known here, so send all that remain; also to a
 			// receiver that knows nothing, which may get such a key from a third instance.
-			b.Records, b.Full = r.recordsFrom(feed, 0, false, now), true
-		case !known || from < head:
+			b.Records, b.Full = r.recordsFrom(feed, Position{}, false, now), true
+		case !known || from.Before(head):
 			b.Records = r.recordsFrom(feed, from, known, now)
 		}
-		if known {
-			b.From = min(from, head)
+		if known && !b.Full {
+			b.From = min(from.Offset, head.Offset)
 		}
 		if feed == FeedOrders && config != nil {
 			b.Records = r.withConfig(b.Records, *config, now)
@@ -442,16 +513,20 @@
 	return batches
 }
 
-// recordsFrom returns the records of a feed from an offset on, or all if known is false.
-func (r *Registry) recordsFrom(feed Feed, from Offset, known bool, now clock.Millis) []Record {
+// recordsFrom returns the records of a feed from a position on, or all if known is false.
+func (r *Registry) recordsFrom(feed Feed, from Position, known bool, now clock.Millis) []Record {
 	var records []Record
 	for key, e := range r.entries {
-		if key.feed != feed || known && e.record.Offset < from {
+		if key.feed != feed {
 			continue
 		}
-		records = append(records, e.recordAt(now))
+		for ; e != nil; e = e.base {
+			if !known || !e.record.Position().Before(from) {
+				records = append(records, e.recordAt(now))
+			}
+		}
 	}
-	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	slices.SortFunc(records, func(a, b Record) int { return a.Position().Compare(b.Position()) })
 	return records
 }
 
@@ -490,7 +565,9 @@
 		case e.object.ZoneOut != "":
 			s.DrainedZones[e.object.ZoneOut] = true
 		case e.object.Status != nil:
-			s.Statuses[e.object.Status.Service] = *e.object.Status
+			status := *e.object.Status
+			status.Lost = r.isLost(e)
+			s.Statuses[status.Service] = status
 		}
 	}
 	for _, list := range s.Endpoints {
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -59,8 +59,8 @@
 }
 
 func (f *fixture) mergeEndpoints(head Offset, records ...Record) {
-	from, _ := f.Head(FeedEndpoints)
-	f.Merge(Batch{Feed: FeedEndpoints, Records: records, From: from, Head: head})
+	known, _ := f.Head(FeedEndpoints)
+	f.Merge(Batch{Feed: FeedEndpoints, Records: records, Era: known.Era, From: known.Offset, Head: head})
 }
 
 func (f *fixture) endpointIDs() string {
@@ -113,7 +113,7 @@
 		f.now += 5 * clock.Second
 		f.Merge(Batch{Feed: FeedEndpoints, Records: []Record{endpointRecord("c", 9, "1 1 ready")}, From: 7, Head: 10})
 		head, _ := f.Head(FeedEndpoints)
-		So(head, ShouldEqual, 3)
+		So(head.Offset, ShouldEqual, 3)
 		So(f.endpointIDs(), ShouldEqual, "a c")
 		So(f.Age(FeedEndpoints), ShouldEqual, 5*clock.Second)
 	})
@@ -137,7 +137,7 @@
 		f := newFixture()
 		f.mergeEndpoints(1, endpointRecord("a", 0, "1 1 ready"))
 		f.mergeEndpoints(9, endpointRecord("a", 8, "1 2 ready"))
-		batches := f.Since(map[Feed]Offset{FeedEndpoints: 1}, nil)
+		batches := f.Since(map[Feed]Position{FeedEndpoints: {Offset: 1}}, nil)
 		So(batches[0].Head, ShouldEqual, 9)
 		So(batches[0].Records, ShouldBeEmpty)
 	})
@@ -176,7 +176,7 @@
 			stale.Merge(b)
 		}
 		So(stale.endpointIDs(), ShouldEqual, "b")
-		So(stale.Heads()[FeedEndpoints], ShouldEqual, 3)
+		So(stale.Heads()[FeedEndpoints].Offset, ShouldEqual, 3)
 	})
 	Convey("A full listing deletes the keys it lacks, unless they are newer than the listing", t, func() {
 		f := newFixture()
--- a/entry/registry/removals.go
+++ b/entry/registry/removals.go
@@ -11,7 +11,8 @@
 // follows the removal in the log.
 type Removal struct {
 	Key string `json:"key"`
-	// Offset is the position of the removal in the feed.
+	// Era and Offset are the position of the removal in the feed.
+	Era    Era    `json:"era,omitempty"`
 	Offset Offset `json:"offset"`
 	// StartedAt and Sequence are those of the endpoint's last heartbeat that is known to precede
 	// the removal.
@@ -58,6 +59,11 @@
 	return heartbeat{m.StartedAt, m.Sequence}
 }
 
+// position returns the position of the removal in the feed.
+func (m *Removal) position() Position {
+	return Position{Era: m.Era, Offset: m.Offset}
+}
+
 // supersedes reports whether the endpoint's heartbeat is older than the removal.
 func (m *Removal) supersedes(h heartbeat) bool {
 	return h.compare(m.heartbeat()) <= 0
@@ -128,12 +134,13 @@
 		if old == nil || old.record.Deleted || old.object.Endpoint == nil || !m.supersedes(old.heartbeat()) {
 			continue
 		}
-		if old.record.Offset <= m.Offset && r.heads[FeedEndpoints] <= m.Offset {
+		at, head := later(old.record.Position(), m.position()), r.heads[FeedEndpoints]
+		if at == m.position() && head.Compare(at) <= 0 {
 			continue
 		}
-		r.logger.Warn("late-beat-removed", "endpoint", m.Key, "offset", old.record.Offset, "sequence", old.sequence,
-			"removed-at-offset", m.Offset, "removed-sequence", m.Sequence, "source", source)
-		tombstone := &entry{record: Record{Feed: FeedEndpoints, Key: m.Key, Offset: max(old.record.Offset, m.Offset), Deleted: true}, firstSeen: now}
+		r.logger.Warn("late-beat-removed", "endpoint", m.Key, "era", old.record.Era, "offset", old.record.Offset, "sequence", old.sequence,
+			"removed-in-era", m.Era, "removed-at-offset", m.Offset, "removed-sequence", m.Sequence, "source", source)
+		tombstone := &entry{record: Record{Feed: FeedEndpoints, Key: m.Key, Era: at.Era, Offset: at.Offset, Deleted: true}, firstSeen: now}
 		changed = r.deleteEndpoint(key, old, tombstone, now) || changed
 	}
 	return changed
--- a/entry/relay/feed_reader.go
+++ b/entry/relay/feed_reader.go
@@ -43,9 +43,10 @@
 	Bootstrap bool
 	// ReadAll returns all keys of a feed.
 	ReadAll func(ctx context.Context, feed registry.Feed) (registry.Batch, error)
-	// ReadSince returns the records from an offset on and, if wait is not 0, waits up
-	// to wait for one. expired is true if the store no longer keeps all of them.
-	ReadSince func(ctx context.Context, feed registry.Feed, from registry.Offset, wait clock.Millis) (b registry.Batch, expired bool, err error)
+	// ReadSince returns the records from a position on and, if wait is not 0, waits up
+	// to wait for one. expired is true if the store no longer keeps all of them or is in
+	// another era.
+	ReadSince func(ctx context.Context, feed registry.Feed, from registry.Position, wait clock.Millis) (b registry.Batch, expired bool, err error)
 
 	relay    *Relay
 	registry *registry.Registry
@@ -93,6 +94,10 @@
 	if age == registry.NeverConfirmed {
 		return f.startupDelay()
 	}
+	if since, outdated := f.registry.Outdated(feed); outdated {
+		// Whoever reads first passes the listing on to the others.
+		return min(checkPeriod, max(0, clock.Millis(rank)*rankDelay-since))
+	}
 	limit := endpointsPeriod
 	switch feed {
 	case registry.FeedOrders:
@@ -126,7 +131,7 @@
 
 func (f *FeedReader) read(ctx context.Context, feed registry.Feed) error {
 	head, known := f.registry.Head(feed)
-	if known {
+	if _, outdated := f.registry.Outdated(feed); known && !outdated {
 		wait := clock.Millis(0)
 		if feed == registry.FeedOrders && f.registry.Age(feed) < 2*ordersPollTimeout {
 			wait = ordersPollTimeout
@@ -144,7 +149,7 @@
 			f.merge(batch, feed)
 			return nil
 		}
-		f.logger.Info("history-expired", "feed", feed, "head", head)
+		f.logger.Info("history-expired", "feed", feed, "era", head.Era, "head", head.Offset)
 	}
 	batch, err := f.ReadAll(ctx, feed)
 	if err != nil {
--- a/entry/relay/members.go
+++ b/entry/relay/members.go
@@ -34,7 +34,7 @@
 	// heardAt is when the peer's last message arrived here, or 0.
 	heardAt clock.Millis
 	// heads holds the feed heads that the peer last reported.
-	heads map[registry.Feed]registry.Offset
+	heads map[registry.Feed]registry.Position
 	// config identifies the configuration that the peer last reported as in force, or is nil if
 	// the peer doesn't report it.
 	config *registry.ConfigID
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -61,8 +61,10 @@
 	ResponseLost bool `json:"missed,omitempty"`
 	// ZoneCounts holds the number of instances by zone.
 	ZoneCounts map[ticket.ZoneName]ZoneCount `json:"counts,omitempty"`
-	// Heads holds the sender's head of each feed, see registry.Registry.Heads.
+	// Heads holds the offset of the sender's head of each feed, see registry.Registry.Heads, and Eras
+	// the eras that are not 0.
 	Heads map[registry.Feed]registry.Offset `json:"heads,omitempty"`
+	Eras  map[registry.Feed]registry.Era    `json:"eras,omitempty"`
 	// Config identifies the sender's configuration in force. Heads don't tell whether the receiver
 	// has a higher one, because the configuration in force need not be the latest in the log.
 	Config  *registry.ConfigID `json:"config,omitempty"`
@@ -104,6 +106,26 @@
 	return loadlist.Loads{InFlight: m.Loads, Failures: m.Failures, Sums: m.Sums}
 }
 
+// setHeads sets the sender's heads.
+func (m *Message) setHeads(heads map[registry.Feed]registry.Position) {
+	m.Heads, m.Eras = map[registry.Feed]registry.Offset{}, map[registry.Feed]registry.Era{}
+	for feed, head := range heads {
+		m.Heads[feed] = head.Offset
+		if head.Era != 0 {
+			m.Eras[feed] = head.Era
+		}
+	}
+}
+
+// heads returns the sender's heads. The result is not nil.
+func (m *Message) heads() map[registry.Feed]registry.Position {
+	heads := make(map[registry.Feed]registry.Position, len(m.Heads))
+	for feed, offset := range m.Heads {
+		heads[feed] = registry.Position{Era: m.Eras[feed], Offset: offset}
+	}
+	return heads
+}
+
 // LoadScope is the set of instances whose requests a load list counts.
 type LoadScope string
 
--- a/entry/relay/order_starts.go
+++ b/entry/relay/order_starts.go
@@ -7,7 +7,7 @@
 
 // peerOrderStart is the start of an order as known to a peer.
 type peerOrderStart struct {
-	offset    registry.Offset
+	position  registry.Position
 	startedAt clock.Millis
 }
 
@@ -16,12 +16,13 @@
 func (p *peer) unsentOrderStarts(known []registry.OrderStart, now clock.Millis) []registry.OrderStart {
 	var list []registry.OrderStart
 	for _, start := range known {
-		if start.Offset >= p.heads[registry.FeedOrders] {
+		position := start.Position()
+		if !position.Before(p.heads[registry.FeedOrders]) {
 			continue
 		}
 		startedAt := now - start.Age
 		sent, ok := p.orderStarts[start.Key]
-		if ok && (sent.offset > start.Offset || sent.offset == start.Offset && sent.startedAt <= startedAt+registry.OrderStartTolerance) {
+		if ok && (position.Before(sent.position) || sent.position == position && sent.startedAt <= startedAt+registry.OrderStartTolerance) {
 			continue
 		}
 		p.setOrderStart(start, startedAt)
@@ -33,7 +34,7 @@
 // receiveOrderStarts records the order starts that the peer knows.
 func (p *peer) receiveOrderStarts(starts []registry.OrderStart, now clock.Millis) {
 	for _, start := range starts {
-		if start.Offset >= p.orderStarts[start.Key].offset {
+		if !start.Position().Before(p.orderStarts[start.Key].position) {
 			p.setOrderStart(start, now-start.Age)
 		}
 	}
@@ -43,5 +44,5 @@
 	if p.orderStarts == nil {
 		p.orderStarts = map[string]peerOrderStart{}
 	}
-	p.orderStarts[start.Key] = peerOrderStart{start.Offset, startedAt}
+	p.orderStarts[start.Key] = peerOrderStart{start.Position(), startedAt}
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -156,7 +156,8 @@
 // newMessage builds the next message for a peer and marks its contents as sent.
 func (r *Relay) newMessage(to string, now clock.Millis, withMembers bool) *Message {
 	config := r.deps.Registry.ConfigID()
-	m := &Message{Heads: r.deps.Registry.Heads(), Config: &config}
+	m := &Message{Config: &config}
+	m.setHeads(r.deps.Registry.Heads())
 	local := r.LocalLoads() // The callback may call methods of this Relay, so no lock is held.
 	r.members.mu.Lock()
 	m.From = r.members.self
@@ -214,10 +215,7 @@
 	r.members.tooMany = false
 	if p != nil {
 		p.heardAt = now
-		p.heads = maps.Clone(m.Heads)
-		if p.heads == nil {
-			p.heads = map[registry.Feed]registry.Offset{}
-		}
+		p.heads = m.heads()
 		p.config = m.Config
 		p.receiveOrderStarts(m.OrderStarts, now)
 		if p.receiveLoads(m, now) {
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -46,6 +46,8 @@
 	// storeRejects reports whether the store rejects the reads of an instance.
 	storeRejects func(name string) bool
 	storeReads   atomic.Int64
+	// era is the store's era; listings counts the listings served.
+	era, listings atomic.Int64
 	// bytes counts the bytes that each address sent and received.
 	bytes map[string]int
 	// ordersHead is the head of the orders feed at the store, rollout the offset of the
@@ -143,11 +145,15 @@
 	follower.ReadAll = func(_ context.Context, feed registry.Feed) (registry.Batch, error) {
 		return f.read(name, feed, 0, true)
 	}
-	follower.ReadSince = func(ctx context.Context, feed registry.Feed, from registry.Offset, wait clock.Millis) (registry.Batch, bool, error) {
+	follower.ReadSince = func(ctx context.Context, feed registry.Feed, position registry.Position, wait clock.Millis) (registry.Batch, bool, error) {
+		from := position.Offset
 		until := time.Now().Add(wait.Duration())
 		for registry.Offset(f.ordersHead.Load()) <= from && time.Now().Before(until) && ctx.Err() == nil {
 			time.Sleep(5 * time.Millisecond)
 		}
+		if position.Era != registry.Era(f.era.Load()) {
+			return registry.Batch{}, true, nil
+		}
 		b, err := f.read(name, feed, from, false)
 		return b, false, err
 	}
@@ -165,7 +171,10 @@
 	if rejected {
 		return registry.Batch{}, errUnreachable
 	}
-	b := registry.Batch{Feed: feed, From: from, Full: full}
+	if full {
+		f.listings.Add(1)
+	}
+	b := registry.Batch{Feed: feed, Era: registry.Era(f.era.Load()), From: from, Full: full}
 	if feed == registry.FeedEndpoints {
 		b.Head = registry.Offset(len(endpoints))
 		b.Records = slices.Clone(endpoints[from:])
@@ -186,6 +195,9 @@
 			b.Records = slices.Insert(b.Records, 0, registry.Record{Feed: feed, Key: "rollout", Offset: at, Value: []byte("x")})
 		}
 	}
+	for i := range b.Records {
+		b.Records[i].Era = b.Era
+	}
 	return b, nil
 }
 
--- a/entry/relay/restarts_test.go
+++ b/entry/relay/restarts_test.go
@@ -118,7 +118,7 @@
 				from.TriggerBroadcast()
 				time.Sleep(1300 * time.Millisecond) // The same bound as in TestTwoReadersMerge.
 				for _, m := range members {
-					if head, _ := f.registries[relayIndex[m.Name]].Head(registry.FeedOutcomes); head < 5 {
+					if head, _ := f.registries[relayIndex[m.Name]].Head(registry.FeedOutcomes); head.Offset < 5 {
 						t.Errorf("%s has not received the outcome", m.Name)
 					}
 				}
