Write a roll-out's status again that the store lost

Callers saw: nothing at once; the operator waited for the end of a roll-out that the system believed to have written, and the old endpoints stayed.

Cause: the store came back from a copy without the status. The instances keep it (status-outlasts), but only this system writes it, and its duty ended with the first write.

Why this holds: the instance of the lowest rank commits the lost status again with the fence of the new era, the others a step later each if it is still lost. One write, and none if the copy has the status.

Ruled out: to decide the roll-out again, as the evidence may be gone.

--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -69,6 +69,8 @@
 	// loadMeasured is true once the service's load was measured for a rollout.LightLoad.
 	loadMeasured bool
 	retryAt      clock.Millis
+	// lostAt is when the status of the order was found to be lost, or 0.
+	lostAt clock.Millis
 }
 
 // sample is a snapshot of the evidence on all routes.
@@ -149,11 +151,14 @@
 	}
 	status, ok := view.Statuses[service]
 	forOrder := ok && status.AppliesTo(order)
+	now := c.clock.Mono()
+	if forOrder && status.Lost {
+		c.restore(ctx, order, status, state, now)
+	}
 	if forOrder && status.Outcome.Final() {
 		return
 	}
 	state.announced = state.announced || forOrder
-	now := c.clock.Mono()
 	if state.outcome == "" {
 		c.evaluate(view, order, state, now)
 	}
@@ -166,6 +171,20 @@
 	}
 }
 
+// restore writes a status again that the store lost, once it is this instance's turn by rank.
+func (c *Controller) restore(ctx context.Context, order *catalog.Order, status registry.Status, state *orderState, now clock.Millis) {
+	if state.lostAt == 0 {
+		state.lostAt = now
+	}
+	rank := clock.Millis(c.relay.DutyRank(string(order.Service)))
+	if now < state.lostAt+rank*rankDelay || now < state.retryAt {
+		return
+	}
+	state.lostAt = 0
+	c.logger.Warn("status-lost", "service", order.Service, "target", status.Target, "order", order.Number, "outcome", status.Outcome)
+	c.commit(ctx, registry.Status{Service: order.Service, Target: status.Target, Order: status.Order, Outcome: status.Outcome}, state)
+}
+
 // evaluate decides an order's outcome from the evidence of all instances, if
 // there is enough of it. A release that was stopped is rolled back.
 func (c *Controller) evaluate(view *registry.State, order *catalog.Order, state *orderState, now clock.Millis) {
--- a/entry/duty/duty_test.go
+++ b/entry/duty/duty_test.go
@@ -26,8 +26,9 @@
 
 // fleet is a group of instances, each with a Controller, that share one status store.
 type fleet struct {
-	relays []*relay.Relay
-	order  *catalog.Order
+	registries []*registry.Registry
+	relays     []*relay.Relay
+	order      *catalog.Order
 
 	// mu guards the fields below, which running instances read while more are added.
 	mu        sync.Mutex
@@ -35,6 +36,8 @@
 	dead      map[string]bool
 	committed registry.Status
 	writes    int
+	// era is the store's era.
+	era registry.Era
 	// inFlight is the number of requests at each of the new release's endpoints.
 	// The map is replaced, never modified.
 	inFlight map[routing.EndpointID]int
@@ -104,6 +107,7 @@
 	f.handlers[name] = mux
 	f.mu.Unlock()
 	f.relays = append(f.relays, rel)
+	f.registries = append(f.registries, r)
 	r.Merge(registry.Batch{Feed: registry.FeedOrders, Head: 2, Records: []registry.Record{{Key: "config", Value: []byte("x")}, {Key: "order", Offset: 1, Value: []byte("x")}}})
 	var endpoints []registry.Record
 	for i := range 6 {
@@ -123,8 +127,7 @@
 			f.committed = s
 			f.writes++
 		}
-		head := registry.Offset(f.writes)
-		r.Merge(registry.Batch{Feed: registry.FeedOutcomes, Full: true, Head: head, Records: []registry.Record{{Key: "status", Offset: head - 1, Value: []byte(f.committed.Outcome)}}})
+		r.Merge(f.listing())
 		return f.committed, nil
 	}
 	d.OnCommitted = func(registry.Status) { rel.TriggerBroadcast() }
@@ -140,6 +143,24 @@
 	go d.Run(ctx)
 }
 
+// listing returns a listing of the store's statuses. The caller holds the lock.
+func (f *fleet) listing() registry.Batch {
+	b := registry.Batch{Feed: registry.FeedOutcomes, Era: f.era, Full: true, Head: registry.Offset(f.writes)}
+	if f.committed.Outcome != "" {
+		b.Records = []registry.Record{{Key: "status", Era: f.era, Offset: b.Head - 1, Value: []byte(f.committed.Outcome)}}
+	}
+	return b
+}
+
+// restore has the store come back in a new era with the given outcome, which one instance reads.
+func (f *fleet) restore(outcome registry.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.era++
+	f.committed = registry.Status{Service: "s", Target: "v2", Order: 3, Outcome: outcome}
+	f.registries[0].Merge(f.listing())
+}
+
 // addRatings records ratings of the new release, spread over all instances and endpoints.
 func (f *fleet) addRatings(count int, good bool) { f.addRatingsOn("r", count, 6, good) }
 
@@ -386,3 +407,46 @@
 		})
 	}
 }
+
+// TestLostStatusIsWrittenAgain guards against a roll-out whose end only the system knows, after the
+// store came back from a copy that lacks it.
+func TestLostStatusIsWrittenAgain(t *testing.T) {
+	rows := []struct {
+		name string
+		// inCopy is the outcome that the copy has; "" is none.
+		inCopy registry.Outcome
+		want   int
+	}{
+		{"the copy has no status", "", 1},
+		{"the copy has the status before", registry.OutcomeRunning, 1},
+		{"the copy has the status", registry.OutcomeCompleted, 0},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			inBubble(t, func(ctx context.Context) {
+				f := newFleet(ctx)
+				time.Sleep(2 * time.Second)
+				f.addRatings(40, true)
+				time.Sleep(18 * time.Second)
+				got, before := f.outcome()
+				if got != registry.OutcomeCompleted {
+					t.Fatalf("outcome %q before the restore", got)
+				}
+				f.restore(row.inCopy)
+				time.Sleep(4 * time.Second)
+				if got, writes := f.outcome(); got != registry.OutcomeCompleted || writes-before != row.want {
+					t.Errorf("outcome %q after %d writes, want %q after %d", got, writes-before, registry.OutcomeCompleted, row.want)
+				}
+				time.Sleep(20 * time.Second)
+				if _, writes := f.outcome(); writes-before != row.want {
+					t.Errorf("%d writes, want %d", writes-before, row.want)
+				}
+				for i, r := range f.registries {
+					if s := r.View().Statuses["s"]; s.Outcome != registry.OutcomeCompleted || s.Lost {
+						t.Errorf("instance %d has %+v", i, s)
+					}
+				}
+			})
+		})
+	}
+}
