Ignore what an older full listing has and a later one lacks

Cause: a starting instance lists the store, and its first exchange is answered by a peer that has not read a removal yet, with a full listing. Records that an instance lacks counted as removed only if the batch was not a full listing. The instance took the endpoint up and passed it on with a later head, which hid the removal from the others.

Ruled out: the order by era, which that code has; the store is in one era.

--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -324,8 +324,9 @@
 	if record.Era < r.heads[b.Feed].Era && now-r.adoptedAt[b.Feed] >= rewriteGrace {
 		return true // It has lapsed here.
 	}
-	// A peer may still have a key that the full listing lacks.
-	return !b.Full && record.Position().Before(r.listedUpTo[b.Feed])
+	// A peer may still have a key that a later full listing lacks.
+	listedUpTo := r.listedUpTo[b.Feed]
+	return record.Position().Before(listedUpTo) && (!b.Full || b.head().Before(listedUpTo))
 }
 
 // noteZoneReturn notes that the endpoints of a zone count as cold if its drain ends with a record.
