Skip batches of impossible eras

Callers saw: nothing so far. A malformed message of one peer with a very high era would have kept its receivers from what the store holds, for good.

Cause: a full listing of a later era is adopted, whatever the era.

Evidence: TestImpossibleErasAreSkipped fails in four of four rows on the code before.

Result: it passes; batch-skipped names the era and the source.

--- a/entry/registry/era_test.go
+++ b/entry/registry/era_test.go
@@ -593,6 +593,33 @@
 	t.Logf("views differ in %d of 200 draws", differ)
 }
 
+// TestImpossibleErasAreSkipped guards against a malformed message whose era would hide all that follows.
+func TestImpossibleErasAreSkipped(t *testing.T) {
+	rows := []struct {
+		name string
+		// era is that of the batch, ofRecord that of its record.
+		era, ofRecord Era
+	}{
+		{"a negative era", -1, -1},
+		{"a very high era", MaxEra + 1, 1},
+		{"a record with a negative era", 1, -1},
+		{"a record of a later era than its batch", 1, 2},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newRestorableStore(1)
+			s.write(FeedOrders, "config", "config 1")
+			s.readAll(0)
+			s.instances[0].Merge(Batch{Feed: FeedOrders, Era: row.era, Full: true, Head: 5, Records: []Record{{Key: "z9", Era: row.ofRecord, Offset: 3, Value: []byte("out")}}})
+			s.write(FeedOrders, "z1", "out")
+			s.readAll(0)
+			if got, want := s.describe(0), "config 1, out z1"; got != want {
+				t.Errorf("the view has %q, want %q", got, want)
+			}
+		})
+	}
+}
+
 // TestStatusApplies checks which orders a status belongs to, also when one of the instances knows the
 // order by its position in a later era.
 func TestStatusApplies(t *testing.T) {
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -185,8 +185,21 @@
 	return Position{Era: b.Era, Offset: b.Head}
 }
 
+// hasPossibleEras reports whether the batch and its records can be of their eras. Only a malformed
+// message has others, and would keep its receiver from reading the store.
+func (b *Batch) hasPossibleEras() bool {
+	if b.Era < 0 || b.Era > MaxEra {
+		return false
+	}
+	return !slices.ContainsFunc(b.Records, func(r Record) bool { return r.Era < 0 || r.Era > b.Era })
+}
+
 // Merge merges a batch and reports whether the view changed.
 func (r *Registry) Merge(b Batch) bool {
+	if !b.hasPossibleEras() {
+		r.logger.Warn("batch-skipped", "feed", b.Feed, "era", b.Era, "source", b.Source)
+		return false
+	}
 	b.Age = max(0, b.Age) // Otherwise the view would look confirmed for some time to come.
 	return r.update(b.Feed, func(now clock.Millis) bool { return r.merge(&b, now) })
 }
