Pause when the store is in an earlier era than peers have told

Callers saw: nothing so far. An instance with such a view would have listed the store without a pause for as long as that lasts.

Cause: a listing of an earlier era moves no head, and the next read is due at once.

Evidence: TestStoreOfAnEarlierEra doesn't end on the code before, in virtual time.

Result: it passes; the read counts as failed, with the usual pauses.

--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -32,7 +32,7 @@
 	expired bool
 	// sequence is the sequence number of the endpoint's last heartbeat.
 	sequence int64
-	// replaced is the value of the record that this one replaced in an earlier record's place, or nil.
+	// replaced is the value of the key's record before this one, or nil.
 	replaced []byte
 	// base is the record that the store has under the key, if this one stays in force although the
 	// store came back without it, or nil.
--- a/entry/relay/era_test.go
+++ b/entry/relay/era_test.go
@@ -92,6 +92,28 @@
 	}
 }
 
+// TestStoreOfAnEarlierEra guards against an instance that calls the store all the time, because a peer
+// told it of an era that the store is not in.
+func TestStoreOfAnEarlierEra(t *testing.T) {
+	inVirtualTime(t, func(ctx context.Context) {
+		f := newFleet(ctx, 1, 1)
+		time.Sleep(5 * time.Second)
+		r := f.registries[0]
+		head, _ := r.Head(registry.FeedOrders)
+		r.Merge(registry.Batch{Feed: registry.FeedOrders, Era: 5, Full: true, Head: head.Offset, Source: "peer"})
+		before := f.storeReads.Load()
+		const seconds = 10
+		time.Sleep(seconds * time.Second)
+		// Each of the three feeds is tried again after 1 s, with up to two calls.
+		if n := f.storeReads.Load() - before; n > 2*3*seconds {
+			t.Errorf("%d calls in %d s", n, seconds)
+		}
+		if r.View().Config == nil {
+			t.Error("the configuration is lost")
+		}
+	})
+}
+
 // TestHeadsOnTheWire checks that heads are understood by instances that know no eras, and theirs here.
 func TestHeadsOnTheWire(t *testing.T) {
 	rows := []struct {
--- a/entry/relay/feed_reader.go
+++ b/entry/relay/feed_reader.go
@@ -7,8 +7,18 @@
 
 	"foxtailbridge/entry/registry"
 	"foxtailbridge/policy/clock"
+	"foxtailbridge/policy/fault"
 )
 
+// Kind classifies the errors of this package.
+type Kind string
+
+// KindOutdated means that the store responded in an earlier era than is known.
+const KindOutdated Kind = "outdated"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
 const (
 	// endpointsPeriod is the age of the endpoints feed at which a zone's reader reads it.
 	endpointsPeriod = 800 * clock.Millis(1)
@@ -155,6 +165,9 @@
 	if err != nil {
 		return err
 	}
+	if known := f.registry.Era(); batch.Era < known {
+		return fault.New("list", KindOutdated, "the store is in era %d, known is %d", batch.Era, known)
+	}
 	f.merge(batch, feed)
 	return nil
 }
