--- a/entry/duty/duty.go
+++ b/entry/duty/duty.go
@@ -153,7 +153,7 @@
 	forOrder := ok && status.AppliesTo(order)
 	now := c.clock.Mono()
 	if forOrder && status.Lost {
-		c.restore(ctx, order, status, state, now)
+		c.rewriteLost(ctx, order, status, state, now)
 	}
 	if forOrder && status.Outcome.Final() {
 		return
@@ -171,8 +171,8 @@
 	}
 }
 
-// restore writes a status again that the store lost, once it is this instance's turn by rank.
-func (c *Controller) restore(ctx context.Context, order *catalog.Order, status registry.Status, state *orderState, now clock.Millis) {
+// rewriteLost writes a status again that the store lost, once it is this instance's turn by rank.
+func (c *Controller) rewriteLost(ctx context.Context, order *catalog.Order, status registry.Status, state *orderState, now clock.Millis) {
 	if state.lostAt == 0 {
 		state.lostAt = now
 	}
--- a/entry/registry/era_test.go
+++ b/entry/registry/era_test.go
@@ -196,7 +196,7 @@
 			s.restore(c)
 			s.sleep(2 * rewriteGrace)
 		}, 0, "config 2"},
-		{"an evacuation gets an offset that was used before", func(s *restorableStore) {
+		{"a zone drain gets an offset that was used before", func(s *restorableStore) {
 			s.write(FeedOrders, "config", "config 1")
 			c := s.copied()
 			s.write(FeedOrders, "config", "config 2")
@@ -218,21 +218,21 @@
 			s.write(FeedOrders, "z2", "out")
 			s.readAll(0)
 		}, 0, "config 1, out z1, out z2"},
-		{"a lost evacuation stays in force", func(s *restorableStore) {
+		{"a lost zone drain stays in force", func(s *restorableStore) {
 			c := s.copied()
 			s.write(FeedOrders, "z1", "out")
 			s.readAll(0)
 			s.restore(c)
 			s.sleep(shortOfGrace)
 		}, 0, "out z1"},
-		{"a lost evacuation lapses if it is not written again", func(s *restorableStore) {
+		{"a lost zone drain lapses if it is not written again", func(s *restorableStore) {
 			c := s.copied()
 			s.write(FeedOrders, "z1", "out")
 			s.readAll(0)
 			s.restore(c)
 			s.sleep(2 * rewriteGrace)
 		}, 0, ""},
-		{"a lost evacuation is written again", func(s *restorableStore) {
+		{"a lost zone drain is written again", func(s *restorableStore) {
 			c := s.copied()
 			s.write(FeedOrders, "z1", "out")
 			s.readAll(0)
@@ -241,7 +241,7 @@
 			s.write(FeedOrders, "z1", "out")
 			s.sleep(2 * rewriteGrace)
 		}, 0, "out z1"},
-		{"a lost evacuation is written again and ended", func(s *restorableStore) {
+		{"a lost zone drain is written again and ended", func(s *restorableStore) {
 			c := s.copied()
 			s.write(FeedOrders, "z1", "out")
 			s.readAll(0)
@@ -251,7 +251,7 @@
 			s.write(FeedOrders, "z1", "")
 			s.readAll(0)
 		}, 0, ""},
-		{"the end of an evacuation is lost", func(s *restorableStore) {
+		{"the end of a zone drain is lost", func(s *restorableStore) {
 			s.write(FeedOrders, "z1", "out")
 			c := s.copied()
 			s.write(FeedOrders, "z1", "")
@@ -500,7 +500,7 @@
 	sequence := 0
 	actions := map[string]func(){
 		"configuration": func() { s.repeat(); revision++; s.write(FeedOrders, "config", fmt.Sprint("config ", revision)) },
-		"evacuation": func() {
+		"zone drain": func() {
 			s.repeat()
 			s.write(FeedOrders, rapid.SampledFrom([]string{"z1", "z2"}).Draw(t, "zone"), rapid.SampledFrom([]string{"out", ""}).Draw(t, "value"))
 		},
@@ -531,7 +531,7 @@
 			}
 		},
 	}
-	names := []string{"configuration", "evacuation", "order", "heartbeat", "removal", "copy", "restore", "read", "read", "send", "send", "wait"}
+	names := []string{"configuration", "zone drain", "order", "heartbeat", "removal", "copy", "restore", "read", "read", "send", "send", "wait"}
 	for range rapid.IntRange(1, 40).Draw(t, "actions") {
 		actions[rapid.SampledFrom(names).Draw(t, "action")]()
 	}
--- a/entry/registry/expiry_test.go
+++ b/entry/registry/expiry_test.go
@@ -1,7 +1,6 @@
 package registry
 
 import (
-	"slices"
 	"strconv"
 	"testing"
 
@@ -52,14 +51,7 @@
 
 // newest returns the newest records of the keys that are not deleted.
 func (f *fleet) newest() []Record {
-	var records []Record
-	for offset, record := range f.log {
-		superseded := slices.ContainsFunc(f.log[offset+1:], func(later Record) bool { return later.Key == record.Key })
-		if !superseded && !record.Deleted {
-			records = append(records, record)
-		}
-	}
-	return records
+	return newestRecords(f.log)
 }
 
 // list makes an instance read a listing of all keys.
