Tell all peers of operators' records that a new era lacks

Cause: a lost record keeps its position, which lies before every head of the new era, so that it went only to peers that were behind. One that had listed the new era was never told. And a listing counted as proof that a lost record is gone, which it can't be.

Ruled out: to send them for good; an instance for which the grace period is over ignores them, and without a new era nothing more is sent or looked through.

--- a/entry/registry/era.go
+++ b/entry/registry/era.go
@@ -99,6 +99,13 @@
 	}
 }
 
+// isRewriting reports whether records of the feed that its present era lost may still be written
+// again, as far as is known here.
+func (r *Registry) isRewriting(feed Feed, now clock.Millis) bool {
+	at, adopted := r.adoptedAt[feed]
+	return !adopted || now-at < rewriteGrace
+}
+
 // inEarlierEra reports whether the era of the entry's feed lacks the entry's record.
 func (r *Registry) inEarlierEra(e *entry) bool {
 	return e.record.Era < r.heads[e.record.Feed].Era
@@ -135,7 +142,7 @@
 // known one takes over its position and keeps its identity and age.
 func (r *Registry) confirmRecord(old, next *entry, now clock.Millis) bool {
 	first := old.record.FirstPosition()
-	if first.Era >= next.record.Era || now-r.adoptedAt[next.record.Feed] >= rewriteGrace || !sameContent(old, next) {
+	if first.Era >= next.record.Era || !r.isRewriting(next.record.Feed, now) || !sameContent(old, next) {
 		return false
 	}
 	old.record.Era, old.record.Offset, old.record.First = next.record.Era, next.record.Offset, &first
--- a/entry/registry/era_test.go
+++ b/entry/registry/era_test.go
@@ -38,14 +38,18 @@
 func newRestorableStore(instances int) *restorableStore {
 	s := &restorableStore{era: 1, logs: map[Feed][]Record{}}
 	for range instances {
-		s.instances = append(s.instances, newFixture())
-	}
-	for _, i := range s.instances {
-		i.Decode = decodeNumbered
+		s.instances = append(s.instances, nil)
+		s.start(len(s.instances)-1, 100*clock.Second)
 	}
 	return s
 }
 
+// start starts an instance, which forgets what it knew.
+func (s *restorableStore) start(instance int, now clock.Millis) {
+	s.instances[instance] = newFixtureAt(now)
+	s.instances[instance].Decode = decodeNumbered
+}
+
 // write appends a record; an empty value deletes the key.
 func (s *restorableStore) write(feed Feed, key, value string) {
 	r := Record{Feed: feed, Key: key, Era: s.era, Offset: s.head(feed), Value: []byte(value), Deleted: value == ""}
@@ -444,6 +448,62 @@
 			s.send(1, 0)
 			s.send(1, 0)
 		}, 0, ""},
+		{"an instance that starts after the restore learns of a lost zone drain", func(s *restorableStore) {
+			s.write(FeedOrders, "config", "config 1")
+			c := s.copied()
+			s.write(FeedOrders, "z1", "out")
+			s.readAll(0)
+			s.restore(c)
+			s.readAll(0)
+			s.readAll(1)
+			s.send(0, 1)
+		}, 1, "config 1, out z1"},
+		{"an instance that starts without the store learns of a lost zone drain", func(s *restorableStore) {
+			s.write(FeedOrders, "config", "config 1")
+			c := s.copied()
+			s.write(FeedOrders, "z1", "out")
+			s.readAll(0)
+			s.restore(c)
+			s.readAll(0)
+			s.send(0, 1)
+		}, 1, "config 1, out z1"},
+		{"an instance that has read more than its peer learns of a lost zone drain", func(s *restorableStore) {
+			c := s.copied()
+			s.write(FeedOrders, "z1", "out")
+			s.readAll(0)
+			s.restore(c)
+			s.readAll(0)
+			s.write(FeedOrders, "z2", "out")
+			s.readAll(1)
+			s.send(0, 1)
+		}, 1, "out z1, out z2"},
+		{"a lapsed zone drain doesn't come back from an instance that learned of the era later", func(s *restorableStore) {
+			c := s.copied()
+			s.write(FeedOrders, "z1", "out")
+			s.read(0, FeedOrders)
+			s.read(1, FeedOrders)
+			s.restore(c)
+			late := s.instances[1]
+			s.instances = s.instances[:1]
+			s.sleep(rewriteGrace)
+			late.now = s.instances[0].now
+			s.instances = append(s.instances, late)
+			s.readAll(1)
+			s.send(1, 0)
+		}, 0, ""},
+		{"a zone drain that ended in the new era doesn't come back from an instance that didn't read that", func(s *restorableStore) {
+			c := s.copied()
+			s.write(FeedOrders, "z1", "out")
+			s.readAll(0)
+			s.readAll(1)
+			s.restore(c)
+			s.readAll(0)
+			s.readAll(1)
+			s.write(FeedOrders, "z1", "out")
+			s.write(FeedOrders, "z1", "")
+			s.readAll(0)
+			s.send(1, 0)
+		}, 0, ""},
 		{"a configuration that only an instance of the old era has is in force", func(s *restorableStore) {
 			s.write(FeedOrders, "config", "config 1")
 			c := s.copied()
@@ -473,17 +533,20 @@
 	repeats []Record
 }
 
-// restoreDrawn goes back to the copy. The operator's lost writes are repeated in their order.
+// restoreDrawn goes back to the copy. The operator repeats lost writes.
 func (s *drawnStore) restoreDrawn(c map[Feed][]Record) {
 	lost := slices.Clone(s.logs[FeedOrders][len(c[FeedOrders]):])
 	s.repeats = append(lost, s.repeats...)
 	s.restore(c)
 }
 
-// repeat writes again what a restore lost.
+// repeat writes the newest records again that a restore lost.
 func (s *drawnStore) repeat() {
-	for _, r := range s.repeats {
-		s.write(r.Feed, r.Key, string(r.Value))
+	for i, r := range s.repeats {
+		superseded := slices.ContainsFunc(s.repeats[i+1:], func(later Record) bool { return later.Key == r.Key })
+		if !superseded {
+			s.write(r.Feed, r.Key, string(r.Value))
+		}
 	}
 	s.repeats = nil
 }
@@ -525,14 +588,15 @@
 		"send": func() {
 			s.send(rapid.IntRange(0, size-1).Draw(t, "from"), rapid.IntRange(0, size-1).Draw(t, "to"))
 		},
+		"start": func() { s.start(rapid.IntRange(0, size-1).Draw(t, "starting"), s.instances[0].now) },
 		"wait": func() {
 			for _, i := range s.instances {
 				i.now += clock.Second / 4
 			}
 		},
 	}
-	names := []string{"configuration", "zone drain", "order", "heartbeat", "removal", "copy", "restore", "read", "read", "send", "send", "wait"}
-	for range rapid.IntRange(1, 40).Draw(t, "actions") {
+	names := []string{"configuration", "zone drain", "order", "heartbeat", "removal", "copy", "copy", "restore", "restore", "read", "read", "send", "send", "start", "wait"}
+	for range rapid.IntRange(8, 40).Draw(t, "actions") {
 		actions[rapid.SampledFrom(names).Draw(t, "action")]()
 	}
 	s.repeat()
@@ -545,14 +609,18 @@
 		s.write(FeedEndpoints, id, fmt.Sprint("1 ", sequence, " ready"))
 	}
 	s.sleep(2 * rewriteGrace)
+	for n := range rapid.IntRange(0, 8).Draw(t, "later writes") {
+		s.write(FeedOrders, fmt.Sprint("z", n), "out")
+		s.write(FeedEndpoints, fmt.Sprint("d", n), "1 1 ready")
+	}
+	s.sleep(clock.Second)
 	for from := range size {
 		for to := range size {
 			s.send(from, to)
 		}
 	}
-	late := newFixtureAt(s.instances[0].now)
-	late.Decode = decodeNumbered
-	s.instances = append(s.instances, late)
+	s.instances = append(s.instances, nil)
+	s.start(size, s.instances[0].now)
 	s.readAll(size)
 	s.send(0, size)
 	for i := range size {
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -334,8 +334,9 @@
 	if old != nil {
 		return record.Position().Compare(old.storedAt()) <= 0
 	}
-	if record.Era < r.heads[b.Feed].Era && now-r.adoptedAt[b.Feed] >= rewriteGrace {
-		return true // It has lapsed here.
+	if record.Era < b.Era {
+		// No listing tells whether it is written again yet.
+		return !r.isRewriting(b.Feed, now)
 	}
 	// A peer may still have a key that a later full listing lacks.
 	listedUpTo := r.listedUpTo[b.Feed]
@@ -513,7 +514,7 @@
 			// Keys deleted since then are not known here, so send all that remain; also to a
 			// receiver that knows nothing, which may get such a key from a third instance.
 			b.Records, b.Full = r.recordsFrom(feed, Position{}, false, now), true
-		case !known || from.Before(head):
+		case !known || from.Before(head) || feed == FeedOrders && head.Era > 0 && r.isRewriting(feed, now):
 			b.Records = r.recordsFrom(feed, from, known, now)
 		}
 		if known && !b.Full {
@@ -527,7 +528,8 @@
 	return batches
 }
 
-// recordsFrom returns the records of a feed from a position on, or all if known is false.
+// recordsFrom returns the records of a feed from a position on, or all if known is false. Lost
+// records of operators are among them, as a receiver that is past them may not know them.
 func (r *Registry) recordsFrom(feed Feed, from Position, known bool, now clock.Millis) []Record {
 	var records []Record
 	for key, e := range r.entries {
@@ -535,7 +537,7 @@
 			continue
 		}
 		for ; e != nil; e = e.base {
-			if !known || !e.record.Position().Before(from) {
+			if !known || !e.record.Position().Before(from) || feed == FeedOrders && r.inEarlierEra(e) {
 				records = append(records, e.recordAt(now))
 			}
 		}
